--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/configuration/ConfigurationSnapshot.kt
@@ -0,0 +1,25 @@
+/*
+ * The configuration in force at one moment, as traffic reads it.
+ */
+package org.primrosesill.configuration
+
+import org.primrosesill.generated.Contract
+import org.primrosesill.generated.FleetDocument
+import org.primrosesill.model.CustomerId
+
+/**
+ * An immutable view of all accepted documents.
+ *
+ * @property revision highest revision whose documents have all been seen
+ * @property fleet the fleet document in force, or null before the first one was accepted
+ */
+public data class ConfigurationSnapshot(
+    val revision: Long = 0,
+    val fleet: FleetDocument? = null,
+    val contracts: Map<CustomerId, Contract> = emptyMap(),
+    val customersByCredentialHash: Map<String, CustomerId> = emptyMap(),
+) {
+    /** Returns the contract that holds the SHA-256 [credentialHash] of a bearer token, or null. */
+    public fun contractFor(credentialHash: String): Contract? =
+        customersByCredentialHash[credentialHash]?.let(contracts::get)
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/model/Failure.kt
@@ -0,0 +1,156 @@
+/*
+ * Every way in which a request of a caller can fail. A failure carries what failed and where, says whether the request
+ * may have run, and knows its problem type and status for the answer to the caller (RFC 9457).
+ */
+package org.primrosesill.model
+
+import org.primrosesill.generated.LimitReason
+import org.primrosesill.generated.Ran
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * A typed failure of one request.
+ *
+ * @property type last part of the problem type URI, stable over releases
+ * @property status HTTP status for the caller
+ * @property title summary that does not depend on the request
+ * @property detail what failed and where, without credentials and chat text
+ * @property ran whether the request may have run at an upstream
+ * @property retryAfter when the caller can come back, or null when the same request will never succeed
+ */
+public sealed class Failure(
+    public val type: String,
+    public val status: Int,
+    public val title: String,
+    public val detail: String,
+    public val ran: Ran = Ran.NOT_RUN,
+    public val retryAfter: Duration? = null,
+) {
+    override fun toString(): String = "$type: $detail"
+
+    /** The request itself is wrong: malformed JSON, a missing field, a header outside its bounds. */
+    public class MalformedRequest(public val field: String, problem: String) :
+        Failure("malformed-request", 400, "The request is malformed", "$field: $problem")
+
+    /** No contract holds the caller's credential. */
+    public class UnknownCustomer :
+        Failure("unknown-customer", 401, "The credential belongs to no customer", "no contract holds this credential")
+
+    /** The contract does not permit this pool, or the fleet does not have it. */
+    public class UnknownPool(public val pool: PoolId) :
+        Failure("unknown-pool", 404, "The model or service is not available to this customer", "no access to '$pool'")
+
+    /** The body is larger than the contract allows. */
+    public class BodyTooLarge(public val limitBytes: Long) :
+        Failure("body-too-large", 413, "The body is too large", "at most $limitBytes bytes are allowed")
+
+    /** The customer is over a limit of the contract. */
+    public class LimitExceeded(public val customer: CustomerId, public val limit: LimitReason, retryAfter: Duration) :
+        Failure(
+            "limit-exceeded",
+            429,
+            "A limit of the contract is reached",
+            "customer '$customer' is over the limit '$limit'",
+            retryAfter = retryAfter,
+        )
+
+    /** The router sheds load of this priority. */
+    public class Overloaded(public val priority: Int, retryAfter: Duration) :
+        Failure(
+            "overloaded",
+            503,
+            "The router is overloaded",
+            "requests of priority $priority are not taken at present",
+            retryAfter = retryAfter,
+        )
+
+    /** No upstream of the pool may take the request at present. */
+    public class NoUpstream(public val pool: PoolId, reason: String, retryAfter: Duration = 1.seconds) :
+        Failure("no-upstream", 503, "No upstream can take the request", "'$pool': $reason", retryAfter = retryAfter)
+
+    /** No connection to the upstream came about, so that no byte of the request left the router. */
+    public class UpstreamUnreachable(public val upstream: UpstreamId, retryAfter: Duration = 1.seconds) :
+        Failure(
+            "upstream-unreachable",
+            503,
+            "The upstream cannot be reached",
+            "no connection to '$upstream'",
+            retryAfter = retryAfter,
+        )
+
+    /** The upstream itself says that it did not run the request. */
+    public class UpstreamRefused(public val upstream: UpstreamId, reason: String, retryAfter: Duration = 1.seconds) :
+        Failure(
+            "upstream-refused",
+            503,
+            "The upstream refused the request",
+            "'$upstream': $reason",
+            retryAfter = retryAfter,
+        )
+
+    /** The request was sent, and no valid answer came back. */
+    public class OutcomeUnknown(public val upstream: UpstreamId?, reason: String) :
+        Failure(
+            "outcome-unknown",
+            502,
+            "It is unknown whether the request ran",
+            "'${upstream ?: "another router"}': $reason",
+            ran = Ran.UNKNOWN,
+        )
+
+    /** The deadline of the contract passed after the request was sent. */
+    public class DeadlineExceeded(public val upstream: UpstreamId, deadline: Duration) :
+        Failure(
+            "deadline-exceeded",
+            504,
+            "The deadline of the contract passed",
+            "'$upstream' did not answer within $deadline",
+            ran = Ran.UNKNOWN,
+        )
+
+    /** The answer broke off and could not be resumed. */
+    public class AnswerCut(public val upstream: UpstreamId, reason: String) :
+        Failure("answer-cut", 502, "The answer broke off", "'$upstream': $reason", ran = Ran.UNKNOWN)
+
+    /** The contract requires an idempotency key for this call. */
+    public class KeyRequired(public val service: PoolId) :
+        Failure("key-required", 400, "An Idempotency-Key is required", "calls to '$service' that may not be repeated")
+
+    /** The key is older than its retention, comes from the future, or is malformed. */
+    public class KeyInvalid(reason: String) :
+        Failure("key-invalid", 400, "The Idempotency-Key cannot be used", reason)
+
+    /** The key was used before for another request. */
+    public class KeyReused :
+        Failure("key-reused", 422, "The Idempotency-Key belongs to another request", "method, path or body differ")
+
+    /** The first request with this key is still running. */
+    public class KeyInProgress(retryAfter: Duration = 1.seconds) :
+        Failure(
+            "key-in-progress",
+            409,
+            "A request with this Idempotency-Key is running",
+            "the first request with the key has no answer yet",
+            ran = Ran.UNKNOWN,
+            retryAfter = retryAfter,
+        )
+
+    /** Too few routers recorded the claim, so that the request was not sent. */
+    public class TooFewVotes(public val granted: Int, public val needed: Int, retryAfter: Duration = 1.seconds) :
+        Failure(
+            "too-few-votes",
+            503,
+            "The fleet cannot prove that the request is new",
+            "$granted routers recorded the key and $needed are needed",
+            retryAfter = retryAfter,
+        )
+
+    /** The router is stopping. */
+    public class Stopping :
+        Failure("stopping", 503, "The router is stopping", "no new requests are taken", retryAfter = 1.seconds)
+
+    /** The router has no configuration yet. */
+    public class NotReady :
+        Failure("not-ready", 503, "The router is not ready", "no configuration is in force", retryAfter = 1.seconds)
+}
