Add stand-ins of the platform, an engine and a booking service

Trials and tests need the outside systems on loopback. The event type request-executed is new, so that a time line can match a routed request with its run at an upstream.

--- a/src/main/kotlin/org/primrosesill/Main.kt
+++ b/src/main/kotlin/org/primrosesill/Main.kt
@@ -3,6 +3,9 @@
  */
 package org.primrosesill
 
-public fun main() {
-    println("primrosesill")
+import com.github.ajalt.clikt.core.main
+import org.primrosesill.command.rootCommand
+
+public fun main(arguments: Array<String>) {
+    rootCommand().main(arguments)
 }
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/standin/EngineListener.kt
@@ -0,0 +1,151 @@
+/*
+ * The upstream protocol of the stand-in engine over HTTP, and the control calls of tests under /stand-in.
+ */
+package org.primrosesill.standin
+
+import arrow.core.Either
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.serialization.Serializable
+import org.primrosesill.event.EventLog
+import org.primrosesill.event.EventSubject
+import org.primrosesill.event.silentEventLog
+import org.primrosesill.generated.EventType
+import org.primrosesill.generated.UpstreamState
+import org.primrosesill.model.RequestId
+import org.primrosesill.model.UpstreamId
+
+/** Starts a stand-in engine that writes what it runs to [events]. */
+public fun startEngine(
+    host: String,
+    port: Int,
+    settings: EngineSettings,
+    events: EventLog = silentEventLog(),
+): Either<StandInFailure, StandIn> {
+    val engine =
+        Engine(settings, CoroutineScope(SupervisorJob() + Dispatchers.Default), System::currentTimeMillis) {
+            recordExecution(events, settings.upstream, it)
+        }
+    val orders = OrderBook(settings.fencingCheck)
+    return startStandIn(host, port) { engineRoutes(engine, orders, System::currentTimeMillis) }
+}
+
+private fun recordExecution(events: EventLog, upstream: UpstreamId, execution: Execution) {
+    val subject = EventSubject(request = RequestId(execution.chat.requestId), upstream = upstream)
+    when (val end = execution.end) {
+        null -> events.record(EventType.REQUEST_EXECUTED, "${execution.cachedTokens} prompt tokens cached", subject)
+        StreamEnd.FINISHED -> events.record(EventType.REQUEST_FINISHED, "answer generated", subject)
+        else -> events.record(EventType.ANSWER_CUT, end.name.lowercase(), subject)
+    }
+}
+
+@Serializable
+internal data class EngineSwitch(val mode: EngineMode)
+
+internal fun Route.engineRoutes(engine: Engine, orders: OrderBook, currentMillis: () -> Long) {
+    post("/v1/chat/completions") { call.chat(engine, currentMillis) }
+    get("/v1/streams/{requestId}") { call.resume(engine, currentMillis) }
+    delete("/v1/streams/{requestId}") {
+        call.echoRequestId()
+        val cancelled = engine.cancel(call.requestParameter())
+        call.respondJson(
+            mapOf("cancelled" to cancelled),
+            if (cancelled) HttpStatusCode.OK else HttpStatusCode.NotFound,
+        )
+    }
+    get(
+        "/load",
+    ) { if (engine.fallen) call.respondNotRun("the engine fell over") else call.respondJson(engine.report()) }
+    get("/cache-events") {
+        call.respondJson(engine.cacheEvents(call.request.queryParameters["since"]?.toLongOrNull() ?: 0))
+    }
+    get("/orders") { call.respondJson(orders.orders()) }
+    post("/orders") {
+        val order = call.receiveJson<EngineOrder>() ?: return@post
+        call.respondJson(orders.orders(), if (orders.apply(order)) HttpStatusCode.OK else HttpStatusCode.Conflict)
+    }
+    engineControls(engine)
+}
+
+private fun Route.engineControls(engine: Engine) {
+    get("/stand-in/executions") { call.respondJson(engine.executions.page()) }
+    put("/stand-in/mode") {
+        val switch = call.receiveJson<EngineSwitch>() ?: return@put
+        engine.switch(switch.mode)
+        call.respondJson(switch)
+    }
+    post("/stand-in/cut") {
+        engine.cutConnections()
+        call.respondText("")
+    }
+}
+
+private suspend fun ApplicationCall.chat(engine: Engine, currentMillis: () -> Long) {
+    val requestId = echoRequestId()
+    val body = receiveJson<ChatBody>() ?: return
+    val chat =
+        Chat(
+            requestId,
+            body.model,
+            body.promptTokens(),
+            priority = request.headers["X-Priority"]?.toIntOrNull() ?: DEFAULT_PRIORITY,
+            deadlineMillis = request.headers["X-Deadline-Millis"]?.toLongOrNull() ?: DEFAULT_DEADLINE_MILLIS,
+            maximumTokens = body.maximumTokens,
+        )
+    engine.submit(chat).fold(
+        { respondNotRun(it.reason, it.state, it.bears.takeIf { _ -> it.state == UpstreamState.COLD }) },
+        { stream ->
+            if (engine.state == UpstreamState.COLD) response.header("X-Upstream-State", UpstreamState.COLD.value)
+            if (body.stream) respondStream(stream, 0, currentMillis) else respondWhole(stream, currentMillis)
+        },
+    )
+}
+
+private suspend fun ApplicationCall.resume(engine: Engine, currentMillis: () -> Long) {
+    response.header("X-Request-Id", requestParameter())
+    val stream = engine.stream(requestParameter())
+    if (stream == null || engine.fallen) {
+        respondError(HttpStatusCode.NotFound, "no such stream")
+    } else {
+        respondStream(stream, request.headers["Last-Event-ID"]?.toIntOrNull() ?: 0, currentMillis)
+    }
+}
+
+/** Sends the events after [after]. An answer that does not finish ends with an aborted connection. */
+private suspend fun ApplicationCall.respondStream(stream: EngineStream, after: Int, currentMillis: () -> Long) {
+    response.header("Cache-Control", "no-store")
+    respondBytesWriter(ContentType.Text.EventStream) {
+        val end =
+            stream.follow(after, currentMillis) { number, event ->
+                writeStringUtf8("id: $number\ndata: $event\n\n")
+                flush()
+            }
+        if (end != StreamEnd.FINISHED) abortConnection("the answer ended as ${end.name.lowercase()}")
+    }
+}
+
+private suspend fun ApplicationCall.respondWhole(stream: EngineStream, currentMillis: () -> Long) {
+    if (stream.follow(0, currentMillis) { _, _ -> } == StreamEnd.FINISHED) {
+        respondText(wholeAnswer(stream.execution), ContentType.Application.Json)
+    } else {
+        respondError(HttpStatusCode.BadGateway, "the answer ended as ${stream.end?.name?.lowercase()}")
+    }
+}
+
+private fun ApplicationCall.requestParameter(): String = parameters["requestId"].orEmpty()
+
+private const val DEFAULT_PRIORITY = 5
+private const val DEFAULT_DEADLINE_MILLIS = 120_000L
