Add the protocol between routers and the layer rules

Cause: claims, exchange, leases and configuration need one transport between routers, with bounds on what it accepts. ArchUnit checks that packages depend downwards only.

--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/http/PeerPaths.kt
@@ -0,0 +1,14 @@
+/*
+ * Paths and bounds of the protocol between routers, shared by its listener and its client.
+ */
+package org.primrosesill.http
+
+internal const val EXCHANGE_PATH = "/peer/v1/exchange"
+internal const val CONFIGURATION_PATH = "/peer/v1/configuration"
+internal const val CLAIM_PATH = "/peer/v1/claim"
+internal const val CLAIM_RELEASE_PATH = "/peer/v1/claim/release"
+internal const val CLAIM_OUTCOME_PATH = "/peer/v1/claim/outcome"
+internal const val LEASE_PATH = "/peer/v1/lease"
+
+/** A configuration value has at most 1 MB; a page carries at least one value and the fields around it. */
+internal const val MAXIMUM_PEER_MESSAGE_BYTES = 2 * 1024 * 1024
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/http/SocketAddress.kt
@@ -0,0 +1,33 @@
+/*
+ * An IP number and port from the settings or from the VM list.
+ */
+package org.primrosesill.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+
+private const val HIGHEST_PORT = 65_535
+
+/** Where a process listens or is reached. [host] is an IP number without brackets. */
+public data class SocketAddress(val host: String, val port: Int) {
+    override fun toString(): String = if (':' in host) "[$host]:$port" else "$host:$port"
+}
+
+/** A text that is not an address. */
+public data class AddressError(val found: String) {
+    override fun toString(): String =
+        "'$found' is not an address; allowed is an IP number and a port, as in 127.0.0.1:8080"
+}
+
+/** Parses `1.2.3.4:80` or `[::1]:80`. Host names are refused, because processes talk by IP number. */
+public fun parseSocketAddress(text: String): Either<AddressError, SocketAddress> {
+    val host = text.substringBeforeLast(':', "").removeSurrounding("[", "]")
+    val port = text.substringAfterLast(':').toIntOrNull()
+    val isIpNumber = host.isNotEmpty() && host.all { it.isDigit() || it in ".:abcdefABCDEF" }
+    return if (isIpNumber && port != null && port in 0..HIGHEST_PORT) {
+        SocketAddress(host, port).right()
+    } else {
+        AddressError(text).left()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/architecture/LayersTest.kt
@@ -0,0 +1,78 @@
+/*
+ * The direction of dependencies between packages, as the design page states it.
+ */
+package org.primrosesill.architecture
+
+import com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage
+import com.tngtech.archunit.core.importer.ClassFileImporter
+import com.tngtech.archunit.core.importer.ImportOption
+import com.tngtech.archunit.library.Architectures.layeredArchitecture
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices
+import org.junit.jupiter.api.Test
+
+class LayersTest {
+    private val classes =
+        ClassFileImporter().withImportOption(ImportOption.DoNotIncludeTests()).importPackages("org.primrosesill")
+
+    // Guards against decisions that come to depend on HTTP or on the wiring of a process.
+    @Test
+    fun `a package uses only the layers below its own`() {
+        layeredArchitecture()
+            .consideringOnlyDependenciesInLayers()
+            .withOptionalLayers(true)
+            .layer("entry")
+            .definedBy("org.primrosesill", "org.primrosesill.command..")
+            .layer("processes")
+            .definedBy(*packages("router", "standin", "experiment"))
+            .layer("adapters")
+            .definedBy(*packages("http"))
+            .layer("requests")
+            .definedBy(*packages("request"))
+            .layer("decisions")
+            .definedBy(*packages(*DECISIONS))
+            .layer("events")
+            .definedBy(*packages("event"))
+            .layer("data")
+            .definedBy(*packages("model", "generated"))
+            .whereLayer("entry")
+            .mayNotBeAccessedByAnyLayer()
+            .whereLayer("processes")
+            .mayOnlyBeAccessedByLayers("entry")
+            .whereLayer("adapters")
+            .mayOnlyBeAccessedByLayers("entry", "processes")
+            .whereLayer("requests")
+            .mayOnlyBeAccessedByLayers("entry", "processes", "adapters")
+            .whereLayer("decisions")
+            .mayOnlyBeAccessedByLayers("entry", "processes", "adapters", "requests")
+            .check(classes)
+    }
+
+    // Guards against two packages that can only be understood together.
+    @Test
+    fun `packages are free of cycles`() {
+        slices()
+            .matching("org.primrosesill.(*)..")
+            .should()
+            .beFreeOfCycles()
+            .ignoreDependency(resideInAPackage("..generated"), resideInAPackage("..model"))
+            .ignoreDependency(resideInAPackage("..model"), resideInAPackage("..generated"))
+            .check(classes)
+    }
+
+    private fun packages(vararg names: String): Array<String> = names.map { "org.primrosesill.$it.." }.toTypedArray()
+
+    private companion object {
+        val DECISIONS =
+            arrayOf(
+                "membership",
+                "exchange",
+                "configuration",
+                "contract",
+                "limit",
+                "admission",
+                "routing",
+                "claim",
+                "answer",
+            )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
@@ -0,0 +1,156 @@
+/*
+ * Contract of the protocol between routers: what listener and client do with good, malformed, oversized and missing
+ * messages.
+ */
+package org.primrosesill.http
+
+import arrow.core.Either
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.Arguments.arguments
+import org.junit.jupiter.params.provider.MethodSource
+import org.primrosesill.generated.ClaimKind
+import org.primrosesill.generated.ClaimRelease
+import org.primrosesill.generated.ClaimReply
+import org.primrosesill.generated.ClaimRequest
+import org.primrosesill.generated.ClaimVote
+import org.primrosesill.generated.ConfigurationPage
+import org.primrosesill.generated.ExchangeMessage
+import org.primrosesill.generated.LeaseReply
+import org.primrosesill.generated.LeaseRequest
+import org.primrosesill.generated.StoredAnswer
+import org.primrosesill.model.ClaimResource
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.RouterId
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class PeerProtocolTest {
+    private val port = ServerSocket(0).use { it.localPort }
+    private val address = "127.0.0.1:$port"
+    private val handler = RecordingHandler()
+    private val server = peerListener(SocketAddress("127.0.0.1", port), handler)
+    private val client = peerClient(2.seconds)
+
+    @BeforeAll
+    fun start() {
+        server.start(wait = false)
+    }
+
+    @AfterAll
+    fun stop() {
+        client.close()
+        server.stop(0, 0)
+    }
+
+    // Guards against a field that one side writes and the other does not read.
+    @Test
+    fun `every message passes to the handler and back`(): Unit =
+        runBlocking {
+            val router = RouterId("r1")
+            val resource = ClaimResource("key/with spaces?&=%")
+            val claim = ClaimRequest(resource, ClaimKind.KEY, router, address, 1, 2, "a1")
+            val answer = StoredAnswer(resource, 200, "text/plain", "aGk=", "digest", 5)
+
+            expectThat(client.exchange(address, ExchangeMessage(7, emptyList())).getOrNull()?.round).isEqualTo(7)
+            expectThat(client.claim(address, claim).getOrNull()?.vote).isEqualTo(ClaimVote.GRANTED)
+            expectThat(
+                client.lease(address, LeaseRequest(CustomerId("c"), router, 3)).getOrNull()?.granted,
+            ).isEqualTo(3)
+            expectThat(client.configuration(address, 41).getOrNull()?.revision).isEqualTo(41)
+            expectThat(client.answer(address, resource).getOrNull()).isNull()
+            client.storeAnswer(address, answer)
+            expectThat(client.answer(address, resource).getOrNull()).isEqualTo(answer)
+            client.release(address, ClaimRelease(resource, router, "a1"))
+            expectThat(handler.released).containsExactly(resource)
+        }
+
+    // Guards against a listener that fails with a server error or passes nonsense on.
+    @ParameterizedTest(name = "{0} is answered with status {3}")
+    @MethodSource("badRequests")
+    fun `a bad message is refused`(name: String, path: String, body: String, status: Int) {
+        val request =
+            HttpRequest.newBuilder(URI("http://$address$path")).POST(HttpRequest.BodyPublishers.ofString(body)).build()
+        val response = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding())
+        expectThat(response.statusCode()).describedAs(name).isEqualTo(status)
+    }
+
+    // Guards against a call that blocks the control loop or throws into it.
+    @Test
+    fun `a router that does not answer, refuses or speaks nonsense is a typed failure`(): Unit =
+        runBlocking {
+            val closedPort = ServerSocket(0).use { it.localPort }
+            expectThat(client.configuration("127.0.0.1:$closedPort", 0))
+                .isA<Either.Left<PeerFailure>>()
+                .get { value }
+                .isA<PeerFailure.Unreachable>()
+            expectThat(client.configuration(address, -1))
+                .isA<Either.Left<PeerFailure>>()
+                .get { value }
+                .isA<PeerFailure.BadReply>()
+            peerClient(50.milliseconds).use { impatient ->
+                expectThat(impatient.configuration(address, SLOW))
+                    .isA<Either.Left<PeerFailure>>()
+                    .get { value }
+                    .isA<PeerFailure.TimedOut>()
+            }
+        }
+
+    companion object {
+        private const val SLOW = 1_000_000L
+
+        @JvmStatic
+        fun badRequests() =
+            listOf(
+                arguments("text that is not JSON", EXCHANGE_PATH, "nonsense", 400),
+                arguments("a missing field", CLAIM_PATH, """{"resource":"r"}""", 400),
+                arguments("a wrong type", LEASE_PATH, """{"customer":"c","router":"r","wanted":"many"}""", 400),
+                arguments("an empty body", CLAIM_RELEASE_PATH, "", 400),
+                arguments("an oversized body", EXCHANGE_PATH, " ".repeat(MAXIMUM_PEER_MESSAGE_BYTES + 1), 413),
+                arguments("an unknown path", "/peer/v1/unknown", "{}", 404),
+            )
+    }
+
+    private class RecordingHandler : PeerHandler {
+        val released = mutableListOf<ClaimResource>()
+        private val answers = mutableMapOf<ClaimResource, StoredAnswer>()
+
+        override suspend fun exchange(message: ExchangeMessage) = message
+
+        override suspend fun configuration(since: Long): ConfigurationPage {
+            if (since == SLOW) delay(2.seconds)
+            check(since >= 0) { "the test asks for a server error" }
+            return ConfigurationPage(since, emptyList())
+        }
+
+        override suspend fun claim(request: ClaimRequest) = ClaimReply(request.claimant, ClaimVote.GRANTED)
+
+        override suspend fun release(release: ClaimRelease) {
+            released += release.resource
+        }
+
+        override suspend fun storeAnswer(answer: StoredAnswer) {
+            answers[answer.resource] = answer
+        }
+
+        override suspend fun answer(resource: ClaimResource) = answers[resource]
+
+        override suspend fun lease(request: LeaseRequest) = LeaseReply(request.wanted, 1_000, 0)
+    }
+}
