--- a/src/main/kotlin/org/primrosesill/http/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerClient.kt
@@ -10,6 +10,7 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.bearerAuth
 import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
@@ -68,13 +69,18 @@
     public suspend fun lease(address: String, request: LeaseRequest): Either<PeerFailure, LeaseReply>
 }
 
-/** Returns a client that gives up on each call after [timeout]. */
-public fun peerClient(timeout: Duration = 250.milliseconds): PeerClient = KtorPeerClient(timeout)
+/**
+ * Returns a client that gives up on each call after [timeout].
+ *
+ * @param token bearer token that the other routers expect; empty for none
+ */
+public fun peerClient(timeout: Duration = 250.milliseconds, token: String = ""): PeerClient =
+    KtorPeerClient(timeout, token)
 
 /** A status and a body, or no body when it was larger than a message may be. */
 private class PeerReply(val status: HttpStatusCode, val body: ByteArray?)
 
-private class KtorPeerClient(private val timeout: Duration) : PeerClient {
+private class KtorPeerClient(private val timeout: Duration, private val token: String) : PeerClient {
     private val client =
         HttpClient(CIO) {
             expectSuccess = false
@@ -159,6 +165,7 @@
             .prepareRequest {
                 url("http://$address$path")
                 header(HttpHeaders.Accept, JsonContent)
+                if (token.isNotEmpty()) bearerAuth(token)
                 configure()
             }.execute { PeerReply(it.status, it.bodyAsChannel().readBounded(MAXIMUM_PEER_MESSAGE_BYTES)) }
 
--- a/src/main/kotlin/org/primrosesill/http/PeerListener.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerListener.kt
@@ -46,9 +46,14 @@
     public suspend fun lease(request: LeaseRequest): LeaseReply
 }
 
-/** Returns a server on [address] that passes messages to [handler]. It is not started yet. */
-public fun peerListener(address: SocketAddress, handler: PeerHandler): EmbeddedServer<*, *> =
+/**
+ * Returns a server on [address] that passes messages to [handler]. It is not started yet.
+ *
+ * @param token bearer token that callers must show; empty for none
+ */
+public fun peerListener(address: SocketAddress, handler: PeerHandler, token: String = ""): EmbeddedServer<*, *> =
     embeddedServer(CIO, host = address.host, port = address.port) {
+        requireBearerToken(token)
         routing {
             postJson<ExchangeMessage, ExchangeMessage>(EXCHANGE_PATH, handler::exchange)
             postJson<ClaimRequest, ClaimReply>(CLAIM_PATH, handler::claim)
--- a/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.Arguments.arguments
 import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.ValueSource
 import org.primrosesill.generated.ClaimKind
 import org.primrosesill.generated.ClaimRelease
 import org.primrosesill.generated.ClaimReply
@@ -45,8 +46,8 @@
     private val port = ServerSocket(0).use { it.localPort }
     private val address = "127.0.0.1:$port"
     private val handler = RecordingHandler()
-    private val server = peerListener(SocketAddress("127.0.0.1", port), handler)
-    private val client = peerClient(2.seconds)
+    private val server = peerListener(SocketAddress("127.0.0.1", port), handler, TOKEN)
+    private val client = peerClient(2.seconds, TOKEN)
 
     @BeforeAll
     fun start() {
@@ -86,7 +87,11 @@
     @MethodSource("badRequests")
     fun `a bad message is refused`(name: String, path: String, body: String, status: Int) {
         val request =
-            HttpRequest.newBuilder(URI("http://$address$path")).POST(HttpRequest.BodyPublishers.ofString(body)).build()
+            HttpRequest
+                .newBuilder(URI("http://$address$path"))
+                .header("Authorization", "Bearer $TOKEN")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build()
         val response = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding())
         expectThat(response.statusCode()).describedAs(name).isEqualTo(status)
     }
@@ -104,7 +109,7 @@
                 .isA<Either.Left<PeerFailure>>()
                 .get { value }
                 .isA<PeerFailure.BadReply>()
-            peerClient(50.milliseconds).use { impatient ->
+            peerClient(50.milliseconds, TOKEN).use { impatient ->
                 expectThat(impatient.configuration(address, SLOW))
                     .isA<Either.Left<PeerFailure>>()
                     .get { value }
@@ -112,7 +117,23 @@
             }
         }
 
+    // Guards against claims and leases that a caller of the fleet could forge.
+    @ParameterizedTest(name = "the token {0} is refused")
+    @ValueSource(strings = ["", "wrong", "$TOKEN."])
+    fun `a call without the token is refused`(token: String): Unit =
+        runBlocking {
+            peerClient(2.seconds, token).use { stranger ->
+                expectThat(stranger.configuration(address, 0))
+                    .isA<Either.Left<PeerFailure>>()
+                    .get { value }
+                    .isA<PeerFailure.BadReply>()
+                    .get { status }
+                    .isEqualTo(401)
+            }
+        }
+
     companion object {
+        private const val TOKEN = "peer token of the test"
         private const val SLOW = 1_000_000L
 
         @JvmStatic
