Add the upstream table, the affinity selector and the load poll assignment

Requests need an upstream that may take work and that keeps prompt caches in use. Two routers of an upstream's zone poll its load.

--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/routing/AffinityUpstreamSelector.kt
@@ -0,0 +1,108 @@
+/*
+ * Chooses upstreams by affinity under a load bound. All requests of a chat have the same ranking of the pool at every
+ * router; the first upstream in the ranking that has room takes the request, so that its prompt cache is used again.
+ */
+package org.primrosesill.routing
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.primrosesill.event.EventLog
+import org.primrosesill.event.EventSubject
+import org.primrosesill.event.silentEventLog
+import org.primrosesill.generated.EventType
+import org.primrosesill.model.Failure
+import org.primrosesill.model.PoolId
+import org.primrosesill.model.UpstreamId
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Returns a selector for the traffic of one router.
+ *
+ * @param snapshot the view in force; called for each decision
+ * @param currentMillis wall clock in milliseconds since the Unix epoch
+ * @param routerSeed differs from router to router, so that requests without affinity do not all take the same order
+ * @param onCold called on a traffic thread for each [UpstreamSelector.recordCold], so that the control thread can
+ *   spread it
+ */
+public fun affinityUpstreamSelector(
+    snapshot: () -> RoutingSnapshot,
+    currentMillis: () -> Long,
+    routerSeed: Long = 0,
+    events: EventLog = silentEventLog(),
+    onCold: (UpstreamId, Int) -> Unit = { _, _ -> },
+): UpstreamSelector = AffinityUpstreamSelector(snapshot, currentMillis, routerSeed, events, onCold)
+
+private class AffinityUpstreamSelector(
+    private val snapshot: () -> RoutingSnapshot,
+    private val currentMillis: () -> Long,
+    private val routerSeed: Long,
+    private val events: EventLog,
+    private val onCold: (UpstreamId, Int) -> Unit,
+) : UpstreamSelector {
+    private val counters = ConcurrentHashMap<String, UpstreamCounters>()
+    private val sequence = AtomicLong()
+
+    @Volatile
+    private var compiled = CompiledSnapshot(RoutingSnapshot(), emptyMap())
+
+    override fun choose(request: RoutingRequest): Either<Failure, UpstreamChoice> {
+        val candidates =
+            current().pools[request.pool] ?: return Failure.NoUpstream(request.pool, "the pool is unknown").left()
+        val nowMillis = currentMillis()
+        val key = request.affinityKey?.let(::hashOf) ?: scoreOf(routerSeed, sequence.incrementAndGet())
+        // A lost race for a circuit trial or a slot excludes that candidate, so that the loop ends.
+        val decision = RoutingDecision(candidates, key, request.excluded, nowMillis)
+        while (true) {
+            val index = decision.next()
+            if (index < 0) return Failure.NoUpstream(request.pool, candidates.refusal(request, nowMillis)).left()
+            val chosen = candidates.counters[index]
+            if (!chosen.tryPass(nowMillis)) continue
+            chosen.inFlight.incrementAndGet()
+            return UpstreamChoice(candidates.views[index], candidates.isCold(index, nowMillis)).right()
+        }
+    }
+
+    override fun finish(upstream: UpstreamId) {
+        counters[upstream.value]?.finish()
+    }
+
+    override fun recordConnection(upstream: UpstreamId, succeeded: Boolean) {
+        val counter = counters[upstream.value] ?: return
+        val subject = EventSubject(upstream = upstream)
+        when (counter.recordConnection(succeeded, currentMillis())) {
+            CircuitChange.OPENED ->
+                events.record(EventType.UPSTREAM_FAILING, "$FAILURES_TO_OPEN connections failed in a row", subject)
+            CircuitChange.CLOSED -> events.record(EventType.UPSTREAM_RECOVERED, "a connection succeeded", subject)
+            CircuitChange.NONE -> Unit
+        }
+    }
+
+    override fun recordCold(upstream: UpstreamId, bears: Int) {
+        counters[upstream.value]?.recordCold(bears, currentMillis())
+        onCold(upstream, bears)
+    }
+
+    override fun inFlight(): Map<UpstreamId, Int> =
+        counters.values
+            .mapNotNull { counter ->
+                counter.inFlight
+                    .get()
+                    .takeIf { it > 0 }
+                    ?.let { counter.id to it }
+            }.toMap()
+
+    private fun current(): CompiledSnapshot {
+        val latest = snapshot()
+        val held = compiled
+        if (held.source === latest) return held
+        val pools = latest.pools.mapValues { (_, pool) -> CandidateSet(pool, ::countersOf) }
+        return CompiledSnapshot(latest, pools).also { compiled = it }
+    }
+
+    private fun countersOf(view: UpstreamView): UpstreamCounters =
+        counters.computeIfAbsent(view.id.value) { UpstreamCounters(view.id) }
+
+    private class CompiledSnapshot(val source: RoutingSnapshot, val pools: Map<PoolId, CandidateSet>)
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/routing/LoadPollAssignment.kt
@@ -0,0 +1,39 @@
+/*
+ * Which upstreams a router polls for load. Two routers of its own zone poll each upstream, so that one lost router
+ * loses no report and the number of polls does not grow with the number of routers.
+ */
+package org.primrosesill.routing
+
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.RouterId
+import org.primrosesill.model.UpstreamId
+
+private const val POLLERS_PER_UPSTREAM = 2
+
+/**
+ * Returns the upstreams that the router [own] polls.
+ *
+ * @param routers all live routers, [own] included, with their zones
+ * @param upstreams all upstreams with their zones
+ */
+public fun loadPollAssignment(
+    own: RouterId,
+    routers: Map<RouterId, AvailabilityZoneId>,
+    upstreams: Map<UpstreamId, AvailabilityZoneId>,
+): Set<UpstreamId> {
+    val hashes = routers.keys.associateWith { hashOf(it.value) }
+    val byZone = routers.keys.groupBy { routers.getValue(it) }
+    return upstreams
+        .filterTo(LinkedHashMap()) { (upstream, zone) ->
+            own in pollers(upstream, byZone[zone].orEmpty(), hashes)
+        }.keys
+}
+
+/** A zone with fewer routers than pollers is helped out by routers of other zones. */
+private fun pollers(upstream: UpstreamId, local: List<RouterId>, hashes: Map<RouterId, Long>): List<RouterId> {
+    val key = hashOf(upstream.value)
+    val first = firstRanked(key, local, POLLERS_PER_UPSTREAM, hashes::getValue)
+    if (first.size == POLLERS_PER_UPSTREAM) return first
+    val remote = hashes.keys.filter { it !in first }
+    return first + firstRanked(key, remote, POLLERS_PER_UPSTREAM - first.size, hashes::getValue)
+}
--- a/src/main/kotlin/org/primrosesill/routing/UpstreamSelector.kt
+++ b/src/main/kotlin/org/primrosesill/routing/UpstreamSelector.kt
@@ -20,6 +20,7 @@
  * @property reportedLoad running and queued requests of its last report
  * @property othersInFlight requests of all other routers, as of the last exchange
  * @property blockedBecause why it receives no new work, or null when it is eligible
+ * @property rampShare part of its share that it may carry, from 0 when it has just become warm to 1
  */
 public data class UpstreamView(
     val id: UpstreamId,
@@ -31,6 +32,7 @@
     val reportedLoad: Int = 0,
     val othersInFlight: Int = 0,
     val blockedBecause: String? = null,
+    val rampShare: Double = 1.0,
 )
 
 /** One pool in a [RoutingSnapshot] with all its upstreams, eligible or not. */
@@ -38,8 +40,19 @@
     val kind: PoolKind get() = settings.kind
 }
 
-/** What a router knows of the upstreams at one moment. Immutable; built by the control thread. */
-public data class RoutingSnapshot(val pools: Map<PoolId, PoolView> = emptyMap())
+/**
+ * What a router knows of the upstreams at one moment. Immutable; built by the control thread.
+ *
+ * @property atMillis when it was built, in milliseconds since the Unix epoch
+ * @property routerPosition place of this router among the live ones, from 0
+ * @property routerCount live routers, this one included
+ */
+public data class RoutingSnapshot(
+    val pools: Map<PoolId, PoolView> = emptyMap(),
+    val atMillis: Long = 0,
+    val routerPosition: Int = 0,
+    val routerCount: Int = 1,
+)
 
 /**
  * A request that needs an upstream.
