Treat a plain service without load reports as warm

Cause: only engines report load, so a service stayed cold for ever and got one request at a time. Change: silence makes an engine cold, not a service; a service is cold only while it says so. Result: the new case of the table test failed before and passes now; mvn verify passes.

--- a/src/main/kotlin/org/primrosesill/routing/UpstreamEntry.kt
+++ b/src/main/kotlin/org/primrosesill/routing/UpstreamEntry.kt
@@ -7,6 +7,7 @@
 import org.primrosesill.generated.PoolSettings
 import org.primrosesill.generated.UpstreamState
 import org.primrosesill.generated.VmEntry
+import org.primrosesill.generated.VmKind
 import org.primrosesill.model.UpstreamId
 
 /** An upstream without a report for this long is taken as cold, because nothing shows that it is not. */
@@ -53,16 +54,18 @@
         return "missing from the VM list for $seconds s, last report ${receivedAtMillis ?: "never"}"
     }
 
-    /** Recomputes the state, and returns the cause when it changed. A new upstream starts cold. */
+    /** Recomputes the state, and returns the cause when it changed. A new engine starts cold. */
     fun update(nowMillis: Long): String? {
         val age = receivedAtMillis?.let { nowMillis - it }
         val fresh = age != null && age <= REPORT_EXPIRY_MILLIS
-        val nowWarm = fresh && report?.state != UpstreamState.COLD
+        // Plain services publish no load, so silence does not make one cold.
+        val usable = fresh || vm.kind == VmKind.SERVICE
+        val nowWarm = usable && !(fresh && report?.state == UpstreamState.COLD)
         if (nowWarm == warm) return null
         warm = nowWarm
         if (nowWarm) warmSinceMillis = nowMillis
         return when {
-            nowWarm -> "reports that it is warm"
+            nowWarm -> if (fresh) "reports that it is warm" else "a service without a report that it is cold"
             !fresh -> "no report for $age ms"
             else -> "reports that it is cold and bears ${report?.bears}"
         }
--- a/src/test/kotlin/org/primrosesill/routing/RoutingFixtures.kt
+++ b/src/test/kotlin/org/primrosesill/routing/RoutingFixtures.kt
@@ -23,6 +23,8 @@
 internal fun engine(name: String, zone: String = "a", state: VmState = VmState.LIVE): VmEntry =
     VmEntry(VmId(name), AvailabilityZoneId(zone), VmKind.ENGINE, "127.0.0.1:1", state, listOf(pool))
 
+internal fun service(name: String): VmEntry = engine(name).copy(kind = VmKind.SERVICE)
+
 internal fun vms(revision: Long, vararg entries: VmEntry): VmList = VmList(revision, entries.toList())
 
 internal fun fleet(vararg zonesOut: String, vmsOut: List<String> = emptyList()): FleetDocument =
--- a/src/test/kotlin/org/primrosesill/routing/UpstreamTableTest.kt
+++ b/src/test/kotlin/org/primrosesill/routing/UpstreamTableTest.kt
@@ -109,6 +109,13 @@
                 listOf(EventType.UPSTREAM_COLD, EventType.UPSTREAM_COLD),
                 atMillis = 4_001,
             ) { applyReports(listOf(report("engine-1", 1_000), report("engine-2", 1_000)), 3_500) },
+            Case(
+                "a plain service without a report is warm",
+                mapOf("service-1" to "warm"),
+                listOf(EventType.UPSTREAM_JOINED, EventType.UPSTREAM_WARM),
+            ) {
+                applyVmList(vms(2, engine("engine-1"), engine("engine-2", "b"), service("service-1")), 1_200)
+            },
             Case(
                 "a refusal that says cold counts before an older report that says warm",
                 mapOf("engine-1" to "cold", "engine-2" to "warm"),
