--- a/src/main/kotlin/org/primrosesill/command/StandInCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/StandInCommand.kt
@@ -24,6 +24,7 @@
 import org.primrosesill.event.jsonEventLog
 import org.primrosesill.event.silentEventLog
 import org.primrosesill.generated.EventType
+import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.standin.EngineSettings
@@ -78,7 +79,7 @@
 }
 
 private class PlatformCommand : CliktCommand("platform") {
-    private val defaults = PlatformSettings("", 0)
+    private val defaults = PlatformSettings(SocketAddress("127.0.0.1", 0))
     private val address by addressOption("--address", "Where to listen.").required()
     private val documents by option("--documents", help = "Directory of JSON documents.").path(mustExist = true)
     private val vms by option("--vms", help = "File with a VM list.").path(mustExist = true)
@@ -97,8 +98,7 @@
     override fun run() {
         val settings =
             PlatformSettings(
-                address.host,
-                address.port,
+                address,
                 documents,
                 vms,
                 vmLag,
@@ -141,8 +141,7 @@
     override fun help(context: Context): String = "Serve chat completions."
 
     override fun run() {
-        val address = upstream.address
-        runUntilEnded(upstream.id, startEngine(address.host, address.port, settings(), upstream.eventLog()))
+        runUntilEnded(upstream.id, startEngine(upstream.address, settings(), upstream.eventLog()))
     }
 
     private fun settings(): EngineSettings =
@@ -177,8 +176,7 @@
     override fun help(context: Context): String = "Serve a booking desk."
 
     override fun run() {
-        val address = upstream.address
         val settings = ServiceSettings(UpstreamId(upstream.id), stock, answer)
-        runUntilEnded(upstream.id, startService(address.host, address.port, settings, upstream.eventLog()))
+        runUntilEnded(upstream.id, startService(upstream.address, settings, upstream.eventLog()))
     }
 }
--- a/src/main/kotlin/org/primrosesill/standin/Engine.kt
+++ b/src/main/kotlin/org/primrosesill/standin/Engine.kt
@@ -8,6 +8,7 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -72,7 +73,7 @@
 }
 
 /** Why the engine did not run a request. */
-internal data class EngineRefusal(val reason: String, val state: UpstreamState, val bears: Int)
+internal data class EngineRefusal(val reason: String, val state: UpstreamState)
 
 /** The decisions of one stand-in engine. Safe to call from any thread. */
 internal class Engine(
@@ -97,6 +98,7 @@
     private var fallenUntilMillis = 0L
     private var pending = 0
 
+    val bears: Int get() = settings.bears
     val executions = ExecutionLog()
     val fallen: Boolean get() = currentMillis() < fallenUntilMillis
     val state: UpstreamState
@@ -128,12 +130,13 @@
         var stream: EngineStream? = null
         try {
             entered = batch.enter(chat.priority, chat.deadlineMillis)
-            if (entered && !fallen) stream = start(chat)
+            if (entered) stream = start(chat)
         } finally {
             // A started answer gives its place back itself when it ends.
             if (stream == null) release(entered)
         }
-        return stream?.right() ?: refusal("no place in the batch before the deadline").left()
+        return stream?.right()
+            ?: refusal(if (fallen) "the engine fell over" else "no place in the batch in time").left()
     }
 
     /** Counts one more request, or returns the reason to refuse it. */
@@ -163,7 +166,7 @@
         return "the engine fell over under more than ${settings.bears} requests while cold"
     }
 
-    private fun refusal(reason: String) = EngineRefusal(reason, state, settings.bears)
+    private fun refusal(reason: String) = EngineRefusal(reason, state)
 
     private fun release(entered: Boolean) {
         if (entered) batch.leave()
@@ -171,7 +174,10 @@
         recordLoad()
     }
 
-    private fun start(chat: Chat): EngineStream {
+    /** Starts to answer, or returns null when the engine fell over meanwhile. */
+    @Synchronized
+    private fun start(chat: Chat): EngineStream? {
+        if (fallen) return null
         val cached = synchronized(cache) { cache.use(chat.promptTokens, currentMillis()) }
         val leaving = state == UpstreamState.LEAVING
         val execution = Execution(chat, currentMillis(), minOf(cached, chat.promptTokens.size), leaving)
@@ -179,23 +185,24 @@
         executions.add(execution)
         executed(execution)
         streams[chat.requestId] = stream
-        jobs[stream] =
-            scope.launch {
-                try {
-                    generate(stream)
-                } finally {
-                    stream.end(StreamEnd.CANCELLED)
-                    execution.end(stream.end ?: StreamEnd.CANCELLED, currentMillis())
-                    executed(execution)
-                    jobs.remove(stream)
-                    release(entered = true)
-                    forgetLater(stream)
-                }
-            }
+        val job = scope.launch(start = CoroutineStart.LAZY) { generate(stream) }
+        jobs[stream] = job
+        // A job that is cancelled before it starts runs no code of its own, so its place is freed from outside.
+        job.invokeOnCompletion { finish(stream) }
+        job.start()
         recordLoad()
         return stream
     }
 
+    private fun finish(stream: EngineStream) {
+        stream.end(StreamEnd.CANCELLED)
+        stream.execution.end(stream.end ?: StreamEnd.CANCELLED, currentMillis())
+        executed(stream.execution)
+        jobs.remove(stream)
+        release(entered = true)
+        forgetLater(stream)
+    }
+
     private suspend fun generate(stream: EngineStream) {
         val chat = stream.execution.chat
         val uncached = chat.promptTokens.size - stream.execution.cachedTokens
--- a/src/main/kotlin/org/primrosesill/standin/EngineListener.kt
+++ b/src/main/kotlin/org/primrosesill/standin/EngineListener.kt
@@ -24,14 +24,13 @@
 import org.primrosesill.event.EventSubject
 import org.primrosesill.event.silentEventLog
 import org.primrosesill.generated.EventType
-import org.primrosesill.generated.UpstreamState
+import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.RequestId
 import org.primrosesill.model.UpstreamId
 
 /** Starts a stand-in engine that writes what it runs to [events]. */
 public fun startEngine(
-    host: String,
-    port: Int,
+    address: SocketAddress,
     settings: EngineSettings,
     events: EventLog = silentEventLog(),
 ): Either<StandInFailure, StandIn> {
@@ -40,7 +39,7 @@
             recordExecution(events, settings.upstream, it)
         }
     val orders = OrderBook(settings.fencingCheck)
-    return startStandIn(host, port) { engineRoutes(engine, orders, System::currentTimeMillis) }
+    return startStandIn(address) { engineRoutes(engine, orders, System::currentTimeMillis) }
 }
 
 private fun recordExecution(events: EventLog, upstream: UpstreamId, execution: Execution) {
@@ -106,9 +105,9 @@
             maximumTokens = body.maximumTokens,
         )
     engine.submit(chat).fold(
-        { respondNotRun(it.reason, it.state, it.bears.takeIf { _ -> it.state == UpstreamState.COLD }) },
+        { respondNotRun(it.reason, it.state, engine.bears) },
         { stream ->
-            if (engine.state == UpstreamState.COLD) response.header("X-Upstream-State", UpstreamState.COLD.value)
+            sayState(engine.state, engine.bears)
             if (body.stream) respondStream(stream, 0, currentMillis) else respondWhole(stream, currentMillis)
         },
     )
--- a/src/main/kotlin/org/primrosesill/standin/PlatformListener.kt
+++ b/src/main/kotlin/org/primrosesill/standin/PlatformListener.kt
@@ -27,6 +27,7 @@
 import kotlinx.serialization.json.JsonObject
 import org.primrosesill.generated.VmEntry
 import org.primrosesill.generated.VmList
+import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.DocumentName
 import org.primrosesill.model.VmId
 import java.io.IOException
@@ -51,8 +52,7 @@
  * @property weightBytes size of each file in the weight store
  */
 public data class PlatformSettings(
-    val host: String,
-    val port: Int,
+    val address: SocketAddress,
     val documents: Path? = null,
     val vms: Path? = null,
     val vmLagMillis: Long = 1_000,
@@ -70,7 +70,7 @@
             val list = readFile(file) { standInJson.decodeFromString<VmList>(it) }.bind()
             state.loadVms(list.vms)
         }
-        startStandIn(settings.host, settings.port) {
+        startStandIn(settings.address) {
             platformRoutes(state, CallLimit(settings.callsPerSecond), settings, System::currentTimeMillis)
         }.bind()
     }
--- a/src/main/kotlin/org/primrosesill/standin/ServiceListener.kt
+++ b/src/main/kotlin/org/primrosesill/standin/ServiceListener.kt
@@ -23,6 +23,7 @@
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.LoadReport
 import org.primrosesill.generated.UpstreamState
+import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.RequestId
 import org.primrosesill.model.UpstreamId
 import java.util.concurrent.atomic.AtomicInteger
@@ -37,12 +38,11 @@
 
 /** Starts a stand-in booking desk that writes what it runs to [events]. */
 public fun startService(
-    host: String,
-    port: Int,
+    address: SocketAddress,
     settings: ServiceSettings,
     events: EventLog = silentEventLog(),
 ): Either<StandInFailure, StandIn> =
-    startStandIn(host, port) { serviceRoutes(BookingDesk(settings.stock), settings, events, System::currentTimeMillis) }
+    startStandIn(address) { serviceRoutes(BookingDesk(settings.stock), settings, events, System::currentTimeMillis) }
 
 @Serializable
 internal data class ServiceSwitch(val leaving: Boolean)
--- a/src/main/kotlin/org/primrosesill/standin/StandInServer.kt
+++ b/src/main/kotlin/org/primrosesill/standin/StandInServer.kt
@@ -27,6 +27,7 @@
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import org.primrosesill.generated.UpstreamState
+import org.primrosesill.http.SocketAddress
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -37,8 +38,8 @@
     override fun toString(): String = "$type: $detail"
 
     /** The address is taken, or this machine does not have it. */
-    public class AddressNotUsable(host: String, port: Int, reason: String) :
-        StandInFailure("address-not-usable", "cannot listen on $host:$port: $reason")
+    public class AddressNotUsable(address: SocketAddress, reason: String) :
+        StandInFailure("address-not-usable", "cannot listen on $address: $reason")
 
     /** A file given at start cannot be read or holds something else. */
     public class FileNotUsable(file: String, reason: String) : StandInFailure("file-not-usable", "$file: $reason")
@@ -47,11 +48,19 @@
 /** A running stand-in. */
 public class StandIn internal constructor(
     private val server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration>,
-    private val host: String,
+    requested: SocketAddress,
 ) : AutoCloseable {
-    /** IP number and port that the stand-in listens on. */
-    public val address: String =
-        runBlocking { "$host:${server.engine.resolvedConnectors().first().port}" }
+    /** Where the stand-in listens, with the port that it got when it asked for any. */
+    public val address: SocketAddress =
+        requested.copy(
+            port =
+                runBlocking {
+                    server.engine
+                        .resolvedConnectors()
+                        .first()
+                        .port
+                },
+        )
 
     override fun close() {
         server.stop(0, 0)
@@ -65,32 +74,32 @@
         explicitNulls = false
     }
 
-/** Listens on [host] and [port] (0 for any free port) and answers with [routes]. */
-internal fun startStandIn(host: String, port: Int, routes: Route.() -> Unit): Either<StandInFailure, StandIn> {
-    probe(host, port)?.let { return it.left() }
+/** Listens on [address] (port 0 for any free port) and answers with [routes]. */
+internal fun startStandIn(address: SocketAddress, routes: Route.() -> Unit): Either<StandInFailure, StandIn> {
+    probe(address)?.let { return it.left() }
     // A stand-in plays a VM that may vanish, so it stops without a grace period.
     val server =
         embeddedServer(CIO, configure = {
             connector {
-                this.host = host
-                this.port = port
+                host = address.host
+                port = address.port
             }
             reuseAddress = true
         }) { routing { routes() } }
     server.start(wait = false)
-    return StandIn(server, host).right()
+    return StandIn(server, address).right()
 }
 
 // Ktor reports a failed bind as an uncaught exception of another thread, so the address is tried first.
-private fun probe(host: String, port: Int): StandInFailure? =
+private fun probe(address: SocketAddress): StandInFailure? =
     try {
         ServerSocket().use { socket ->
             socket.reuseAddress = true
-            socket.bind(InetSocketAddress(host, port))
+            socket.bind(InetSocketAddress(address.host, address.port))
         }
         null
     } catch (failure: IOException) {
-        StandInFailure.AddressNotUsable(host, port, failure.message ?: "bind failed")
+        StandInFailure.AddressNotUsable(address, failure.message ?: "bind failed")
     }
 
 internal suspend inline fun <reified T> ApplicationCall.respondJson(
@@ -121,14 +130,19 @@
 }
 
 /** Says that the request did not run, and how much a cold upstream bears. */
-internal suspend fun ApplicationCall.respondNotRun(reason: String, state: UpstreamState? = null, bears: Int? = null) {
+internal suspend fun ApplicationCall.respondNotRun(reason: String, state: UpstreamState? = null, bears: Int = 1) {
     response.header("X-Not-Run", "true")
     response.header("Retry-After", "1")
-    state?.let { response.header("X-Upstream-State", it.value) }
-    bears?.let { response.header("X-Bears", it.toString()) }
+    state?.let { sayState(it, bears) }
     respondError(HttpStatusCode.ServiceUnavailable, reason)
 }
 
+/** Says in the answer that the upstream is cold and what it bears, or that it is leaving. */
+internal fun ApplicationCall.sayState(state: UpstreamState, bears: Int) {
+    if (state != UpstreamState.WARM) response.header("X-Upstream-State", state.value)
+    if (state == UpstreamState.COLD) response.header("X-Bears", bears.toString())
+}
+
 /** Closes the connection of this call where it is. Whatever was sent so far reaches the other side. */
 internal fun ApplicationCall.abortConnection(reason: String): Nothing {
     val abort = CancellationException(reason)
