Tell a repeat what the holder of a key knows

Cause: a repeat has to distinguish a running request, an unknown outcome and a withdrawn claim, and the peer protocol only told whether an answer was stored. Change: GET /peer/v1/claim/outcome answers a ClaimOutcome with a state.

--- a/src/main/kotlin/org/primrosesill/http/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerClient.kt
@@ -27,6 +27,7 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.serializer
+import org.primrosesill.generated.ClaimOutcome
 import org.primrosesill.generated.ClaimRelease
 import org.primrosesill.generated.ClaimReply
 import org.primrosesill.generated.ClaimRequest
@@ -63,8 +64,7 @@
 
     public suspend fun storeAnswer(address: String, answer: StoredAnswer): Either<PeerFailure, Unit>
 
-    /** Returns null when the router has no answer for [resource]. */
-    public suspend fun answer(address: String, resource: ClaimResource): Either<PeerFailure, StoredAnswer?>
+    public suspend fun outcome(address: String, resource: ClaimResource): Either<PeerFailure, ClaimOutcome>
 
     public suspend fun lease(address: String, request: LeaseRequest): Either<PeerFailure, LeaseReply>
 }
@@ -107,13 +107,9 @@
             decode(address, status, body, serializer<ConfigurationPage>())
         }
 
-    override suspend fun answer(address: String, resource: ClaimResource): Either<PeerFailure, StoredAnswer?> =
+    override suspend fun outcome(address: String, resource: ClaimResource) =
         call(address, "$CLAIM_OUTCOME_PATH?resource=${resource.value.encodeURLParameter()}") { status, body ->
-            if (status == HttpStatusCode.NotFound) {
-                null.right()
-            } else {
-                decode(address, status, body, serializer<StoredAnswer>())
-            }
+            decode(address, status, body, serializer<ClaimOutcome>())
         }
 
     override fun close() = client.close()
--- a/src/main/kotlin/org/primrosesill/http/PeerListener.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerListener.kt
@@ -19,6 +19,7 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.serializer
+import org.primrosesill.generated.ClaimOutcome
 import org.primrosesill.generated.ClaimRelease
 import org.primrosesill.generated.ClaimReply
 import org.primrosesill.generated.ClaimRequest
@@ -41,7 +42,7 @@
 
     public suspend fun storeAnswer(answer: StoredAnswer)
 
-    public suspend fun answer(resource: ClaimResource): StoredAnswer?
+    public suspend fun outcome(resource: ClaimResource): ClaimOutcome
 
     public suspend fun lease(request: LeaseRequest): LeaseReply
 }
@@ -77,11 +78,11 @@
 
 private fun Route.outcomeRoute(handler: PeerHandler) =
     get(CLAIM_OUTCOME_PATH) {
-        val answer = call.request.queryParameters["resource"]?.let { handler.answer(ClaimResource(it)) }
-        if (answer == null) {
-            call.respond(HttpStatusCode.NotFound)
+        val resource = call.request.queryParameters["resource"]
+        if (resource == null) {
+            call.respond(HttpStatusCode.BadRequest)
         } else {
-            call.respondJson(serializer<StoredAnswer>(), answer)
+            call.respondJson(serializer<ClaimOutcome>(), handler.outcome(ClaimResource(resource)))
         }
     }
 
