Give traffic an immutable view of the members

Cause: a claim reads the electorate on traffic threads, while the member table belongs to the control thread.

--- a/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
@@ -6,7 +6,6 @@
 
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
-import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.RouterId
 
 /**
@@ -110,24 +109,19 @@
     public fun live(): List<Member> =
         (entries.values.filter { it.lostAtMillis == null }.map { it.member } + self).sortedBy { it.router.value }
 
-    /**
-     * All router incarnations that may have been alive at [instantMillis] or later, in order of their ids. A listed
-     * address from which no router was heard stands in the result as one router with an id made from the address.
-     *
-     * A silent router may be cut off rather than ended. It stops to count only when a newer incarnation has its
-     * address, or when it left or vanished from the VM list before the instant. The list alone is not believed when it
-     * drops more than a quarter of the routers, because both sides of a partition could then count only themselves.
-     */
-    public fun mayHaveBeenAliveAt(instantMillis: Long): List<Member> {
-        val listed = listedAddresses()
-        val earliest = instantMillis - settings.clockToleranceMillis
-        val (counted, ended) = entries.values.partition { it.countsAt(earliest, listed) }
-        val unproven = ended.filter { !it.replaced && it.member.state == MemberState.LIVE }
-        val unheard = listed - entries.values.map { it.member.address }.toSet() - self.address
-        val certain = counted.map { it.member } + self + unheard.map(::unheardMember)
-        val doubted = if (unproven.size * 4 > certain.size) unproven.map { it.member } else emptyList()
-        return (certain + doubted).sortedBy { it.router.value }
-    }
+    /** See [MemberSnapshot.mayHaveBeenAliveAt]. */
+    public fun mayHaveBeenAliveAt(instantMillis: Long): List<Member> = snapshot().mayHaveBeenAliveAt(instantMillis)
+
+    /** Returns an immutable copy for traffic. */
+    public fun snapshot(): MemberSnapshot =
+        MemberSnapshot(
+            self = self,
+            held = entries.values.map { HeldMember(it.member, it.lostAtMillis, it.replaced) },
+            listedAddresses = listedAddresses(),
+            clockToleranceMillis = settings.clockToleranceMillis,
+            live = live(),
+            knowsCandidates = knowsCandidates(),
+        )
 
     /** Whether the router has any source that names the others. Until then it must not count itself as the fleet. */
     public fun knowsCandidates(): Boolean =
@@ -194,17 +188,6 @@
     }
 }
 
-/** The member that stands for a listed [address] from which nothing was heard. */
-internal fun unheardMember(address: String): Member =
-    Member(
-        router = RouterId("unheard@$address"),
-        address = address,
-        availabilityZone = AvailabilityZoneId(""),
-        startedAtMillis = 0,
-        heartbeat = 0,
-        state = MemberState.LIVE,
-    )
-
 private class MemberEntry(var member: Member, var heardAtMillis: Long) {
     var lostAtMillis: Long? = null
     var replaced = false
@@ -213,9 +196,4 @@
         replaced = true
         lostAtMillis = lostAtMillis?.let { minOf(it, startMillis) } ?: startMillis
     }
-
-    fun countsAt(earliestMillis: Long, listed: Set<String>): Boolean {
-        val lostAt = lostAtMillis ?: return true
-        return lostAt >= earliestMillis || (!replaced && member.address in listed)
-    }
 }
