Add the path of one request

A request passes intake, admission, customer limits, claims and attempts at upstreams over the existing interfaces. Three failures are new: unknown path, method not allowed, and a body that did not arrive.

--- a/src/main/kotlin/org/primrosesill/model/Failure.kt
+++ b/src/main/kotlin/org/primrosesill/model/Failure.kt
@@ -33,6 +33,18 @@
     public class MalformedRequest(public val field: String, problem: String) :
         Failure("malformed-request", 400, "The request is malformed", "$field: $problem")
 
+    /** The listener does not serve this path. */
+    public class UnknownPath(public val path: String) :
+        Failure("unknown-path", 404, "The path is not served", "nothing is served at '$path'")
+
+    /** The path is served, but not with this method. */
+    public class MethodNotAllowed(public val method: String, public val allowed: List<String>) :
+        Failure("method-not-allowed", 405, "The method is not allowed", "'$method' is not one of $allowed")
+
+    /** The caller did not send the whole body in time. */
+    public class BodyIncomplete(reason: String) :
+        Failure("body-incomplete", 408, "The body did not arrive", reason)
+
     /** No contract holds the caller's credential. */
     public class UnknownCustomer :
         Failure("unknown-customer", 401, "The credential belongs to no customer", "no contract holds this credential")
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/request/RequestMetrics.kt
@@ -0,0 +1,54 @@
+/*
+ * Counters and timers of the request path. Pools are a label, customers are not: a fleet has tens of thousands of them.
+ */
+package org.primrosesill.request
+
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import org.primrosesill.model.Failure
+import org.primrosesill.model.PoolId
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.toJavaDuration
+
+internal class RequestMetrics(private val registry: MeterRegistry, inFlight: () -> Int) {
+    private val timers = ConcurrentHashMap<Pair<String, PoolId>, Timer>()
+
+    init {
+        registry.gauge("primrosesill.requests.in.flight", inFlight) { it().toDouble() }
+    }
+
+    /** Counts a request that ended. [pool] is null when the request never got as far as a pool of the fleet. */
+    fun finished(pool: PoolId?, result: String, duration: Duration) {
+        registry
+            .timer("primrosesill.requests", "pool", pool?.value ?: "none", "result", result)
+            .record(duration.toJavaDuration())
+    }
+
+    fun refused(failure: Failure) = count("primrosesill.refusals", "type", failure.type)
+
+    fun retried(pool: PoolId) = count("primrosesill.retries", "pool", pool.value)
+
+    fun resumed(pool: PoolId) = count("primrosesill.answers.resumed", "pool", pool.value)
+
+    fun dropped(pool: PoolId) = count("primrosesill.answers.dropped", "pool", pool.value)
+
+    fun replayed(pool: PoolId) = count("primrosesill.answers.replayed", "pool", pool.value)
+
+    fun firstToken(pool: PoolId, duration: Duration) =
+        timer("primrosesill.first.token", pool).record(duration.toJavaDuration())
+
+    fun betweenTokens(pool: PoolId, duration: Duration) =
+        timer("primrosesill.between.tokens", pool).record(duration.toJavaDuration())
+
+    private fun count(name: String, label: String, value: String) = registry.counter(name, label, value).increment()
+
+    private fun timer(name: String, pool: PoolId): Timer =
+        timers.computeIfAbsent(name to pool) {
+            Timer
+                .builder(name)
+                .tag("pool", pool.value)
+                .publishPercentileHistogram()
+                .register(registry)
+        }
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/request/CountingFakes.kt
@@ -0,0 +1,143 @@
+/*
+ * Fakes of the interfaces around the request path. Each counts what was taken and what was given back.
+ */
+package org.primrosesill.request
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
+import org.primrosesill.admission.AdmissionControl
+import org.primrosesill.admission.AdmissionPermit
+import org.primrosesill.admission.RetryBudget
+import org.primrosesill.claim.KeyClaim
+import org.primrosesill.claim.KeyClaimResult
+import org.primrosesill.claim.KeyClaims
+import org.primrosesill.claim.KeyedRequest
+import org.primrosesill.claim.SlotClaim
+import org.primrosesill.claim.SlotClaims
+import org.primrosesill.generated.Contract
+import org.primrosesill.generated.StoredAnswer
+import org.primrosesill.generated.UpstreamState
+import org.primrosesill.limit.CustomerLimiter
+import org.primrosesill.limit.CustomerPermit
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.ClaimResource
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.Failure
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.routing.RoutingRequest
+import org.primrosesill.routing.UpstreamChoice
+import org.primrosesill.routing.UpstreamSelector
+import org.primrosesill.routing.UpstreamView
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Counts one kind of thing that is taken and given back. */
+class Ledger(val name: String) {
+    private val taken = AtomicInteger()
+    private val returned = AtomicInteger()
+
+    fun take(): () -> Unit {
+        taken.incrementAndGet()
+        return { returned.incrementAndGet() }
+    }
+
+    /** Returns what is wrong, or null when each one taken was given back once. */
+    fun leak(): String? = if (taken.get() == returned.get()) null else "$name: $taken taken and $returned given back"
+}
+
+class FakeAdmission(val ledger: Ledger = Ledger("admission permits"), var refusal: Failure? = null) : AdmissionControl {
+    override fun admit(priority: Int): Either<Failure, AdmissionPermit> =
+        refusal?.left() ?: ledger.take().let { AdmissionPermit { it() } }.right()
+}
+
+class FakeLimiter(val ledger: Ledger = Ledger("customer permits"), var refusal: Failure? = null) : CustomerLimiter {
+    var waitMillis = 0L
+    var tokens = 0
+
+    override suspend fun acquire(contract: Contract): Either<Failure, CustomerPermit> {
+        delay(waitMillis)
+        refusal?.let { return it.left() }
+        val release = ledger.take()
+        return CustomerPermit {
+            tokens += it
+            release()
+        }.right()
+    }
+}
+
+class FakeBudget(var retries: Int = Int.MAX_VALUE) : RetryBudget {
+    override fun recordAttempt(customer: CustomerId) = Unit
+
+    override fun tryRetry(customer: CustomerId): Boolean = retries-- > 0
+}
+
+class FakeSlots(val ledger: Ledger = Ledger("slots"), var free: Int = 1) : SlotClaims {
+    var waitMillis = 0L
+
+    override suspend fun claim(upstream: UpstreamId, slots: Int, heldUntilMillis: Long): SlotClaim? {
+        delay(waitMillis)
+        if (free-- <= 0) return null
+        return ledger.take().let { SlotClaim { it() } }
+    }
+}
+
+/** Counts how each claim was settled. */
+class FakeKeyClaims(var result: Either<Failure, StoredAnswer>? = null) : KeyClaims {
+    val settled = mutableListOf<String>()
+    var stored: StoredAnswer? = null
+    var digest: String? = null
+
+    override suspend fun claim(request: KeyedRequest): Either<Failure, KeyClaimResult> {
+        digest = request.requestDigest
+        return result?.map { KeyClaimResult.Repeated(it) } ?: KeyClaimResult.Granted(claim()).right()
+    }
+
+    private fun claim() =
+        object : KeyClaim {
+            override val resource = ClaimResource("key")
+
+            override suspend fun complete(answer: StoredAnswer) {
+                stored = answer
+                settled += "complete"
+            }
+
+            override suspend fun release() {
+                settled += "release"
+            }
+
+            override fun keep() {
+                settled += "keep"
+            }
+        }
+}
+
+/** Chooses the first upstream that is not excluded. */
+class FakeSelector(val addresses: List<String>, var slotNeeded: Set<String> = emptySet()) : UpstreamSelector {
+    val ledger = Ledger("requests in flight")
+    val connections = mutableListOf<Boolean>()
+    val cold = mutableListOf<Int>()
+    private val open = ConcurrentHashMap<UpstreamId, ArrayDeque<() -> Unit>>()
+
+    override fun choose(request: RoutingRequest): Either<Failure, UpstreamChoice> {
+        val address = addresses.firstOrNull { UpstreamId(it) !in request.excluded }
+        address ?: return Failure.NoUpstream(request.pool, "all were tried").left()
+        val id = UpstreamId(address)
+        synchronized(open) { open.computeIfAbsent(id) { ArrayDeque() }.add(ledger.take()) }
+        val view = UpstreamView(id, AvailabilityZoneId("a"), address, listOf(request.pool), UpstreamState.WARM)
+        return UpstreamChoice(view, address in slotNeeded).right()
+    }
+
+    override fun finish(upstream: UpstreamId) = synchronized(open) { open.getValue(upstream).removeFirst() }.invoke()
+
+    override fun recordConnection(upstream: UpstreamId, succeeded: Boolean) {
+        synchronized(connections) { connections += succeeded }
+    }
+
+    override fun recordCold(upstream: UpstreamId, bears: Int) {
+        cold += bears
+    }
+
+    override fun inFlight(): Map<UpstreamId, Int> = open.mapValues { it.value.size }.filterValues { it > 0 }
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/request/RequestFixture.kt
@@ -0,0 +1,205 @@
+/*
+ * A request path with fakes all around it: a scripted upstream client, a caller that records its answer, and contracts.
+ */
+package org.primrosesill.request
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import org.primrosesill.configuration.ConfigurationSnapshot
+import org.primrosesill.event.EventLog
+import org.primrosesill.event.EventSubject
+import org.primrosesill.generated.AvailabilityZoneSettings
+import org.primrosesill.generated.Contract
+import org.primrosesill.generated.EventType
+import org.primrosesill.generated.FleetDocument
+import org.primrosesill.generated.PoolKind
+import org.primrosesill.generated.PoolSettings
+import org.primrosesill.generated.ServicePermission
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.Failure
+import org.primrosesill.model.PoolId
+import org.primrosesill.model.RequestId
+import kotlin.time.TimeSource
+
+const val TOKEN = "secret"
+const val CHAT = """{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}"""
+
+val contract =
+    Contract(
+        customer = CustomerId("c"),
+        credentialHashes = listOf(credentialHash(TOKEN)),
+        requestsPerSecond = 100.0,
+        concurrentRequests = 10,
+        models = listOf(PoolId("m"), PoolId("gone")),
+        services =
+            listOf(
+                ServicePermission(PoolId("booking")),
+                ServicePermission(PoolId("stock"), repeatableMethods = listOf("GET", "PUT"), keyRequired = false),
+            ),
+        chatDeadlineMillis = 10_000,
+        serviceDeadlineMillis = 2_000,
+        maximumBodyBytes = 4_096,
+    )
+
+val snapshot =
+    ConfigurationSnapshot(
+        fleet =
+            FleetDocument(
+                listOf(AvailabilityZoneSettings(AvailabilityZoneId("a"))),
+                listOf(
+                    PoolSettings(PoolId("m"), PoolKind.CHAT),
+                    PoolSettings(PoolId("booking"), PoolKind.SERVICE),
+                    PoolSettings(PoolId("stock"), PoolKind.SERVICE),
+                ),
+            ),
+        contracts = mapOf(contract.customer to contract),
+        customersByCredentialHash = contract.credentialHashes.associateWith { contract.customer },
+    )
+
+/** What a scripted upstream does with one call. */
+sealed interface Reply {
+    data object NotSent : Reply
+
+    data object Broken : Reply
+
+    data object TimedOut : Reply
+
+    data object Hang : Reply
+
+    class Answer(
+        val status: Int = 200,
+        val parts: List<BodyPart> = listOf(BodyPart.End),
+        val headers: Map<String, String> = emptyMap(),
+        val requestId: String? = null,
+    ) : Reply
+}
+
+/** Stands for a body that stalls: the upstream keeps the connection open and sends nothing more. */
+val stall = BodyPart.Bytes(ByteArray(0))
+
+class ScriptedClient(private val replies: List<Reply>) : UpstreamClient {
+    val calls = mutableListOf<UpstreamCall>()
+    private val remaining = ArrayDeque(replies)
+
+    /** Calls that carried the work itself, without resumes and cancels. */
+    val sent: List<UpstreamCall> get() = calls.filterNot { it.path.startsWith("/v1/streams/") }
+
+    override suspend fun <T> exchange(call: UpstreamCall, use: suspend (UpstreamAnswer) -> T): ExchangeResult<T> {
+        calls += call
+        if (call.method == "DELETE") return ExchangeResult.NotSent("not scripted")
+        return when (val reply = remaining.removeFirst()) {
+            Reply.NotSent -> ExchangeResult.NotSent("refused")
+            Reply.Broken -> ExchangeResult.Broken("reset")
+            Reply.TimedOut -> ExchangeResult.TimedOut
+            Reply.Hang -> awaitCancellation()
+            is Reply.Answer -> ExchangeResult.Answered(use(answer(call, reply)))
+        }
+    }
+
+    private fun answer(call: UpstreamCall, reply: Reply.Answer): UpstreamAnswer {
+        val parts = ArrayDeque(reply.parts)
+        val headers = reply.headers + ("x-request-id" to (reply.requestId ?: call.requestId))
+        return UpstreamAnswer(reply.status, headers.mapValues { listOf(it.value) }) {
+            val part = parts.removeFirst()
+            if (part === stall) awaitCancellation() else part
+        }
+    }
+}
+
+/** Records the answer. Leaves after [leavesAfter] writes. */
+class RecordingCaller(private val leavesAfter: Int = Int.MAX_VALUE) : CallerAnswer {
+    var failure: Failure? = null
+    var head: AnswerHead? = null
+    var end: StreamEnd? = null
+    val text = StringBuilder()
+    private var writes = 0
+
+    override suspend fun refuse(failure: Failure) {
+        this.failure = failure
+    }
+
+    override suspend fun respond(head: AnswerHead, body: ByteArray) =
+        stream(head) { writer ->
+            writer.write(body)
+            StreamEnd.WHOLE
+        }
+
+    override suspend fun stream(head: AnswerHead, produce: suspend (AnswerWriter) -> StreamEnd) {
+        this.head = head
+        end =
+            produce { bytes ->
+                delay(1)
+                if (writes++ >= leavesAfter) throw CallerGoneException("the caller left")
+                text.append(bytes.decodeToString())
+            }
+    }
+
+    /** The failure type, or the status with "cut" if the answer was aborted. */
+    fun result(): String =
+        failure?.type ?: head?.let { if (end == StreamEnd.WHOLE) "${it.status}" else "cut" } ?: "none"
+}
+
+class RecordingEvents : EventLog {
+    val types = mutableListOf<EventType>()
+
+    override fun record(type: EventType, cause: String, subject: EventSubject) {
+        synchronized(types) { types += type }
+    }
+}
+
+class Fixture(
+    val client: UpstreamClient,
+    addresses: List<String> = listOf("u1", "u2", "u3", "u4"),
+    timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    configuration: ConfigurationSnapshot = snapshot,
+) {
+    val admission = FakeAdmission()
+    val limiter = FakeLimiter()
+    val budget = FakeBudget()
+    val slots = FakeSlots()
+    val claims = FakeKeyClaims()
+    val selector = FakeSelector(addresses)
+    val events = RecordingEvents()
+    val registry = SimpleMeterRegistry()
+    val flow =
+        requestFlow(
+            RequestFlowDependencies(
+                { configuration },
+                admission,
+                budget,
+                limiter,
+                claims,
+                slots,
+                selector,
+                client,
+                events,
+                registry,
+                timeSource = timeSource,
+            ),
+        )
+
+    /** Returns what was not given back once. */
+    fun leaks(): List<String> =
+        listOf(admission.ledger, limiter.ledger, slots.ledger, selector.ledger).mapNotNull { it.leak() } +
+            listOfNotNull("requests at the gate: ${flow.inFlight}".takeIf { flow.inFlight != 0 })
+}
+
+fun callerRequest(
+    method: String = "POST",
+    path: String = "/v1/chat/completions",
+    body: String = CHAT,
+    headers: Map<String, String> = emptyMap(),
+): CallerRequest {
+    val all = mapOf("authorization" to "Bearer $TOKEN") + headers
+    return CallerRequest(RequestId("r"), method, path, all.mapValues { listOf(it.value) }) { limit ->
+        val bytes = body.toByteArray()
+        val result: Either<Failure, ByteArray> =
+            if (bytes.size > limit) Failure.BodyTooLarge(limit.toLong()).left() else bytes.right()
+        result
+    }
+}
