Add the operator listener and the status command

Operators answer for what the fleet does, so a router shows its status, health and metrics on its own listener, and 'status' prints what one or more routers see. Health checks need no token, because a balancer has none; requireBearerToken takes the open paths for that.

--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/command/StatusCommand.kt
@@ -0,0 +1,75 @@
+/*
+ * The `status` command: asks one or more routers what they see.
+ */
+package org.primrosesill.command
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.primrosesill.generated.RouterStatus
+import org.primrosesill.http.OperatorClient
+import org.primrosesill.http.SocketAddress
+import kotlin.time.Duration.Companion.milliseconds
+
+private val statusJson =
+    Json {
+        encodeDefaults = true
+        explicitNulls = false
+        prettyPrint = true
+    }
+
+@Serializable
+private class JsonAnswer(val operatorAddress: String, val status: RouterStatus? = null, val failure: String? = null)
+
+internal class StatusCommand : CliktCommand("status") {
+    private val routers by addressOption("--router", "Operator address of a router; may be given more than once.")
+        .multiple(required = true)
+    private val token by option("--operator-token", help = "Bearer token of the operator listeners.").default("")
+    private val timeout by option("--timeout", help = "Time each router has to answer.", metavar = "millis")
+        .long()
+        .restrictTo(min = 1)
+        .default(3_000)
+    private val json by option("--json", help = "Print JSON instead of tables.").flag()
+
+    override fun help(context: Context): String =
+        "Print zones, VMs, upstreams, configuration revision, members, and what is out of service and why."
+
+    override fun helpEpilog(context: Context): String = "Ends with status 1 when a router did not answer."
+
+    override fun run() {
+        val answers = runBlocking { ask(routers) }
+        echo(if (json) statusJson.encodeToString(answers.map(::jsonAnswer)) else renderStatus(answers))
+        if (answers.any { it.status == null }) throw ProgramResult(1)
+    }
+
+    private suspend fun ask(addresses: List<SocketAddress>): List<StatusAnswer> =
+        OperatorClient(token, timeout.milliseconds).use { client ->
+            coroutineScope {
+                addresses
+                    .map { address ->
+                        async {
+                            client.status(address).fold(
+                                { StatusAnswer(address, null, "$it") },
+                                { StatusAnswer(address, it) },
+                            )
+                        }
+                    }.awaitAll()
+            }
+        }
+
+    private fun jsonAnswer(answer: StatusAnswer) =
+        JsonAnswer("${answer.address}", answer.status, answer.failure.takeIf(String::isNotEmpty))
+}
--- a/src/main/kotlin/org/primrosesill/http/BearerToken.kt
+++ b/src/main/kotlin/org/primrosesill/http/BearerToken.kt
@@ -9,14 +9,16 @@
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.call
 import io.ktor.server.request.header
+import io.ktor.server.request.path
 import io.ktor.server.response.respond
 import java.security.MessageDigest
 
-/** Answers every call without the bearer [token] with 401. An empty token admits every call. */
-internal fun Application.requireBearerToken(token: String) {
+/** Answers every call without the bearer [token] with 401, but for [openPaths]. An empty token admits every call. */
+internal fun Application.requireBearerToken(token: String, openPaths: Set<String> = emptySet()) {
     if (token.isEmpty()) return
     val expected = "Bearer $token".encodeToByteArray()
     intercept(ApplicationCallPipeline.Plugins) {
+        if (call.request.path() in openPaths) return@intercept
         val found =
             call.request
                 .header(HttpHeaders.Authorization)
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/http/OperatorProtocolTest.kt
@@ -0,0 +1,98 @@
+/*
+ * Contract of the operator listener and its client: health, status and metrics, with and without the token.
+ */
+package org.primrosesill.http
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
+import org.primrosesill.generated.RouterStatus
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.RouterId
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.time.Duration.Companion.seconds
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class OperatorProtocolTest {
+    private val address = SocketAddress("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val member =
+        Member(RouterId("r1"), "127.0.0.1:1", AvailabilityZoneId("a"), 0, 1, MemberState.LIVE)
+    private val source =
+        object : OperatorSource {
+            var reason: String? = null
+
+            override fun status() = RouterStatus(member, ready = reason == null, configurationRevision = 7)
+
+            override fun notReadyBecause() = reason
+        }
+    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val server = operatorListener(address, source, metrics, TOKEN)
+
+    @BeforeAll
+    fun start() {
+        metrics.counter("requests.total").increment()
+        server.start(wait = false)
+    }
+
+    @AfterAll
+    fun stop() {
+        server.stop(0, 0)
+    }
+
+    // Guards against a balancer that sends callers to a router without configuration, and against open status pages.
+    @ParameterizedTest(name = "{0}: {1} answers {4} to token {3} and not-ready reason {2}")
+    @CsvSource(
+        "a live router, /health/live, '', '', 200, live",
+        "a router that is not ready still lives, /health/live, no configuration, '', 200, live",
+        "a ready router, /health/ready, '', '', 200, 'true'",
+        "a router that is not ready says why, /health/ready, no configuration, '', 503, no configuration",
+        "status with the token, /status, '', secret, 200, '\"configurationRevision\":7'",
+        "status without the token, /status, '', '', 401, ''",
+        "metrics with the token, /metrics, '', secret, 200, requests_total 1.0",
+        "metrics with another token, /metrics, '', wrong, 401, ''",
+        "an unknown page, /secrets, '', secret, 404, ''",
+    )
+    fun `operator listener`(name: String, path: String, reason: String, token: String, status: Int, holds: String) {
+        source.reason = reason.ifEmpty { null }
+        val request = HttpRequest.newBuilder(URI("http://$address$path")).header("Authorization", "Bearer $token")
+        val answer = HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString())
+        expectThat(answer.statusCode()).describedAs(name).isEqualTo(status)
+        expectThat(answer.body()).contains(holds)
+    }
+
+    // Guards against an operator who cannot tell a router that is down from one that refuses the token.
+    @Test
+    fun `the client tells a status from a refused token and from a closed port`() {
+        val closed = SocketAddress("127.0.0.1", ServerSocket(0).use { it.localPort })
+        source.reason = null
+        runBlocking {
+            OperatorClient(TOKEN, 5.seconds).use { client ->
+                expectThat(client.status(address).getOrNull()).isEqualTo(source.status())
+                expectThat(client.status(closed).leftOrNull()).isA<StatusFailure.Unreachable>()
+            }
+            OperatorClient("wrong", 5.seconds).use { client ->
+                expectThat(client.status(address).leftOrNull()).isA<StatusFailure.BadAnswer>()
+            }
+        }
+    }
+
+    private companion object {
+        const val TOKEN = "secret"
+    }
+}
