Add the timeline command

An operator who has to explain what the fleet did needs one account of all processes, whose clocks differ.

--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/command/TimelineCommand.kt
@@ -0,0 +1,89 @@
+/*
+ * The `timeline` command: one ordered account of what the fleet did, from the event logs of its processes.
+ */
+package org.primrosesill.command
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.path
+import org.primrosesill.event.EventFile
+import org.primrosesill.event.Timeline
+import org.primrosesill.event.TimelineFilter
+import org.primrosesill.event.mergeTimeline
+import org.primrosesill.event.readEvents
+import org.primrosesill.event.renderHtml
+import org.primrosesill.event.renderNotes
+import org.primrosesill.event.renderText
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.RequestId
+import org.primrosesill.model.UpstreamId
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.bufferedWriter
+import kotlin.io.path.inputStream
+
+/** Why a file of a time line cannot be read or written. */
+internal sealed class TimelineFailure(val type: String, val detail: String) {
+    override fun toString(): String = "$type: $detail"
+
+    class FileNotReadable(file: Path, reason: String) : TimelineFailure("file-not-readable", "$file: $reason")
+
+    class FileNotWritable(file: Path, reason: String) : TimelineFailure("file-not-writable", "$file: $reason")
+}
+
+internal class TimelineCommand : CliktCommand("timeline") {
+    private val files by argument("file", help = "Files with event lines.").path().multiple(required = true)
+    private val request by option("--request", help = "Only events of this request.")
+    private val upstream by option("--upstream", help = "Only events about or of this upstream.")
+    private val availabilityZone by option("--availability-zone", help = "Only events about or in this zone.")
+    private val customer by option("--customer", help = "Only events of this customer's requests.")
+    private val offsets by option(
+        "--offset",
+        help = "Milliseconds to add to the times of a process instead of an estimate; may be given more than once.",
+        metavar = "process=millis",
+    ).convert { text ->
+        val millis = text.substringAfterLast('=', "").toLongOrNull()
+        text.substringBeforeLast('=') to (millis ?: fail("'$text' is not of the form process=millis"))
+    }.multiple()
+    private val html by option("--html", help = "Write an HTML page with one lane for each process.").path()
+
+    override fun help(context: Context): String = "Merge the event logs of processes into one time line."
+
+    override fun run() {
+        val filter =
+            TimelineFilter(
+                request?.let(::RequestId),
+                upstream?.let(::UpstreamId),
+                availabilityZone?.let(::AvailabilityZoneId),
+                customer?.let(::CustomerId),
+            )
+        val timeline = mergeTimeline(files.map { read(it).getOrElse(::commandFailed) }, filter, offsets.toMap())
+        renderNotes(timeline).forEach { echo(it, err = true) }
+        val target = html
+        if (target == null) {
+            renderText(timeline).forEach(::echo)
+        } else {
+            write(timeline, target).getOrElse(::commandFailed)
+            echo("${timeline.entries.size} events written to $target")
+        }
+    }
+
+    private fun read(file: Path): Either<TimelineFailure, EventFile> =
+        Either
+            .catchOrThrow<IOException, EventFile> {
+                file.inputStream().bufferedReader().useLines { readEvents(file.toString(), it) }
+            }.mapLeft { TimelineFailure.FileNotReadable(file, "${it::class.simpleName}") }
+
+    private fun write(timeline: Timeline, file: Path): Either<TimelineFailure, Unit> =
+        Either
+            .catchOrThrow<IOException, Unit> { file.bufferedWriter().use { renderHtml(timeline, it) } }
+            .mapLeft { TimelineFailure.FileNotWritable(file, "${it::class.simpleName}") }
+}
