--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/http/PlatformClient.kt
@@ -0,0 +1,190 @@
+/*
+ * Reads and watches the configuration and the VM list of the platform. The platform may be down, slow or wrong: every
+ * call has a time limit and a size limit, and every answer that does not make sense is a typed error.
+ */
+package org.primrosesill.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.HttpTimeoutConfig
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.prepareGet
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.io.readByteArray
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.primrosesill.generated.ConfigurationPage
+import org.primrosesill.generated.VmList
+import java.io.IOException
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Settings of a [PlatformClient].
+ *
+ * @property waitMillis how long a watch waits for a change
+ * @property answerMillis time for an answer beyond [waitMillis]
+ * @property maximumBytes an answer above it is refused; the platform's values have up to 1 MB
+ */
+public data class PlatformClientSettings(
+    val address: String,
+    val waitMillis: Long = 25_000,
+    val connectMillis: Long = 1_000,
+    val answerMillis: Long = 3_000,
+    val maximumBytes: Int = 1_200_000,
+    val backoffMillis: Long = 200,
+    val maximumBackoffMillis: Long = 5_000,
+)
+
+/** Why a call to the platform gave nothing. */
+public sealed class PlatformError(public val detail: String) {
+    override fun toString(): String = detail
+
+    /** No connection, no answer in time, or a connection that broke. */
+    public class Unreachable(public val call: String, cause: String) : PlatformError("$call: $cause")
+
+    /** An answer with a status other than 200. */
+    public class UnexpectedStatus(public val call: String, public val status: Int) :
+        PlatformError("$call: status $status, expected 200")
+
+    /** An answer over the size limit. */
+    public class TooLarge(public val call: String, public val limitBytes: Int) :
+        PlatformError("$call: the answer has more than $limitBytes bytes")
+
+    /** An answer that is not the message that was asked for. */
+    public class Malformed(public val call: String, cause: String) : PlatformError("$call: $cause")
+}
+
+/** Calls the platform at one address. Safe to call from any thread. */
+public class PlatformClient(private val settings: PlatformClientSettings) : AutoCloseable {
+    private val json = Json { ignoreUnknownKeys = true }
+    private val client =
+        HttpClient(CIO) {
+            install(HttpTimeout)
+            expectSuccess = false
+        }
+
+    /** Reads the changes after revision [since], and waits up to [waitMillis] for one. */
+    public suspend fun configuration(since: Long, waitMillis: Long = 0): Either<PlatformError, ConfigurationPage> =
+        read("/v1/configuration?since=$since&waitMillis=$waitMillis", waitMillis, ConfigurationPage.serializer())
+
+    /** Reads the VM list when its revision is above [since], and waits up to [waitMillis] for that. */
+    public suspend fun vms(since: Long, waitMillis: Long = 0): Either<PlatformError, VmList> =
+        read("/v1/vms?since=$since&waitMillis=$waitMillis", waitMillis, VmList.serializer())
+
+    /**
+     * Watches the configuration until cancelled. [since] is read before each call, and [onResult] gets each page with
+     * the revision it was asked for with, or the error.
+     */
+    public suspend fun watchConfiguration(
+        since: () -> Long,
+        onResult: suspend (Long, Either<PlatformError, ConfigurationPage>) -> Unit,
+    ): Unit =
+        watch(
+            since,
+            ::configuration,
+            { page, from -> page.propertyEntries.isNotEmpty() || page.revision > from },
+            onResult,
+        )
+
+    /** Watches the VM list until cancelled, as [watchConfiguration] does. */
+    public suspend fun watchVms(
+        since: () -> Long,
+        onResult: suspend (Long, Either<PlatformError, VmList>) -> Unit,
+    ): Unit = watch(since, ::vms, { list, from -> list.revision > from }, onResult)
+
+    override fun close() {
+        client.close()
+    }
+
+    private suspend fun <T> watch(
+        since: () -> Long,
+        call: suspend (Long, Long) -> Either<PlatformError, T>,
+        isNews: (T, Long) -> Boolean,
+        onResult: suspend (Long, Either<PlatformError, T>) -> Unit,
+    ) {
+        val backoff = Backoff(settings.backoffMillis, settings.maximumBackoffMillis, Random.Default)
+        while (true) {
+            currentCoroutineContext().ensureActive()
+            val from = since()
+            val startedNanos = System.nanoTime()
+            val result = call(from, settings.waitMillis)
+            onResult(from, result)
+            // A platform that answers a watch at once without news would be asked in a tight loop.
+            val waited = (System.nanoTime() - startedNanos) / 1_000_000 >= settings.waitMillis / 2
+            val usable = result.fold({ false }, { waited || (isNews(it, from) && since() > from) })
+            if (usable) backoff.reset() else delay(backoff.nextMillis().milliseconds)
+        }
+    }
+
+    private suspend fun <T> read(
+        call: String,
+        waitMillis: Long,
+        deserializer: DeserializationStrategy<T>,
+    ): Either<PlatformError, T> =
+        try {
+            client
+                .prepareGet("http://${settings.address}$call") { timeout { limits(waitMillis) } }
+                .execute { response ->
+                    val bytes = response.bodyAsChannel().readRemaining(settings.maximumBytes + 1L).readByteArray()
+                    when {
+                        response.status.value != 200 ->
+                            PlatformError
+                                .UnexpectedStatus(
+                                    call,
+                                    response.status.value,
+                                ).left()
+                        bytes.size > settings.maximumBytes -> PlatformError.TooLarge(call, settings.maximumBytes).left()
+                        else -> json.decodeFromString(deserializer, bytes.decodeToString()).right()
+                    }
+                }
+        } catch (exception: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            PlatformError.Unreachable(call, exception.message ?: "the call was cancelled").left()
+        } catch (exception: SerializationException) {
+            PlatformError
+                .Malformed(
+                    call,
+                    exception.message
+                        .orEmpty()
+                        .lineSequence()
+                        .first()
+                        .take(MAXIMUM_CAUSE),
+                ).left()
+        } catch (exception: IOException) {
+            PlatformError.Unreachable(call, exception.message ?: exception.javaClass.simpleName).left()
+        }
+
+    private fun HttpTimeoutConfig.limits(waitMillis: Long) {
+        connectTimeoutMillis = settings.connectMillis
+        requestTimeoutMillis = waitMillis + settings.answerMillis
+        socketTimeoutMillis = waitMillis + settings.answerMillis
+    }
+}
+
+private const val MAXIMUM_CAUSE = 200
+
+/** Waiting times that double up to [maximumMillis], each with full jitter so that routers do not call in step. */
+internal class Backoff(private val firstMillis: Long, private val maximumMillis: Long, private val random: Random) {
+    private var attempts = 0
+
+    fun reset() {
+        attempts = 0
+    }
+
+    fun nextMillis(): Long {
+        val bound = minOf(maximumMillis, firstMillis shl attempts.coerceAtMost(20))
+        attempts++
+        return bound / 2 + random.nextLong(bound / 2 + 1)
+    }
+}
