--- a/src/main/kotlin/org/primrosesill/exchange/PartTable.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/PartTable.kt
@@ -54,6 +54,9 @@
     public fun newestConfiguration(): RouterPart? =
         parts.values.map { it.part }.maxByOrNull { it.configurationRevision }
 
+    /** The part with the newest VM list, or null when nobody was heard. */
+    public fun newestVmList(): RouterPart? = parts.values.map { it.part }.maxByOrNull { it.vmListRevision }
+
     private fun mergeReport(report: LoadReport) {
         val held = reports[report.upstream]
         if (held == null || report.reportedAtMillis > held.reportedAtMillis) reports[report.upstream] = report
--- a/src/main/kotlin/org/primrosesill/http/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerClient.kt
@@ -36,6 +36,7 @@
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
 import org.primrosesill.generated.StoredAnswer
+import org.primrosesill.generated.VmList
 import org.primrosesill.model.ClaimResource
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,6 +59,8 @@
 
     public suspend fun configuration(address: String, since: Long): Either<PeerFailure, ConfigurationPage>
 
+    public suspend fun vms(address: String): Either<PeerFailure, VmList>
+
     public suspend fun claim(address: String, request: ClaimRequest): Either<PeerFailure, ClaimReply>
 
     public suspend fun release(address: String, release: ClaimRelease): Either<PeerFailure, Unit>
@@ -107,6 +110,9 @@
             decode(address, status, body, serializer<ConfigurationPage>())
         }
 
+    override suspend fun vms(address: String) =
+        call(address, VM_LIST_PATH) { status, body -> decode(address, status, body, serializer<VmList>()) }
+
     override suspend fun outcome(address: String, resource: ClaimResource) =
         call(address, "$CLAIM_OUTCOME_PATH?resource=${resource.value.encodeURLParameter()}") { status, body ->
             decode(address, status, body, serializer<ClaimOutcome>())
--- a/src/main/kotlin/org/primrosesill/http/PeerListener.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerListener.kt
@@ -28,6 +28,7 @@
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
 import org.primrosesill.generated.StoredAnswer
+import org.primrosesill.generated.VmList
 import org.primrosesill.model.ClaimResource
 
 /** Answers the messages of other routers. Called on traffic threads. */
@@ -36,6 +37,8 @@
 
     public suspend fun configuration(since: Long): ConfigurationPage
 
+    public suspend fun vms(): VmList
+
     public suspend fun claim(request: ClaimRequest): ClaimReply
 
     public suspend fun release(release: ClaimRelease)
@@ -62,6 +65,7 @@
             postJson<ClaimRelease>(CLAIM_RELEASE_PATH, handler::release)
             postJson<StoredAnswer>(CLAIM_OUTCOME_PATH, handler::storeAnswer)
             configurationRoute(handler)
+            get(VM_LIST_PATH) { call.respondJson(serializer<VmList>(), handler.vms()) }
             outcomeRoute(handler)
         }
     }
--- a/src/main/kotlin/org/primrosesill/http/PeerPaths.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerPaths.kt
@@ -5,6 +5,7 @@
 
 internal const val EXCHANGE_PATH = "/peer/v1/exchange"
 internal const val CONFIGURATION_PATH = "/peer/v1/configuration"
+internal const val VM_LIST_PATH = "/peer/v1/vms"
 internal const val CLAIM_PATH = "/peer/v1/claim"
 internal const val CLAIM_RELEASE_PATH = "/peer/v1/claim/release"
 internal const val CLAIM_OUTCOME_PATH = "/peer/v1/claim/outcome"
--- a/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
@@ -17,11 +17,12 @@
 /**
  * An immutable view of a [MemberTable]. Safe to read from any thread.
  *
+ * @property self the own router, with its heartbeat at that moment
  * @property live all routers that are alive, in order of their ids, with the own one and with those that are leaving
  * @property knowsCandidates whether any source names the other routers; until then the own one is not the whole fleet
  */
 public class MemberSnapshot internal constructor(
-    private val self: Member,
+    public val self: Member,
     private val held: List<HeldMember>,
     private val listedAddresses: Set<String>,
     private val clockToleranceMillis: Long,
--- a/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
@@ -109,6 +109,9 @@
     public fun live(): List<Member> =
         (entries.values.filter { it.lostAtMillis == null }.map { it.member } + self).sortedBy { it.router.value }
 
+    /** When the heartbeat of [router] last grew, in milliseconds; far in the past for an unknown router. */
+    public fun heardAtMillis(router: RouterId): Long = entries[router]?.heardAtMillis ?: Long.MIN_VALUE / 2
+
     /** See [MemberSnapshot.mayHaveBeenAliveAt]. */
     public fun mayHaveBeenAliveAt(instantMillis: Long): List<Member> = snapshot().mayHaveBeenAliveAt(instantMillis)
 
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/CatchUpLoop.kt
@@ -0,0 +1,42 @@
+/*
+ * Pulls documents and the VM list from the peer that shows a newer revision in the exchange.
+ */
+package org.primrosesill.router
+
+import org.primrosesill.generated.RouterPart
+import org.primrosesill.http.PeerClient
+
+internal class CatchUpLoop(
+    private val control: ControlThread,
+    private val state: ControlState,
+    private val client: PeerClient,
+    private val currentMillis: () -> Long,
+) {
+    /** Pulls what is missing, page by page, and returns when this router has caught up or a peer did not answer. */
+    suspend fun catchUp() {
+        pullVmList()
+        while (pullPage()) {
+            // Each page was a step towards the revision that the peer shows.
+        }
+    }
+
+    private suspend fun pullPage(): Boolean {
+        val ahead = control.run { state.parts.newestConfiguration()?.takeIf { it.isAhead() } } ?: return false
+        val since = control.run { state.documents.revision }
+        val address = ahead.member.address
+        val page = client.configuration(address, since).getOrNull() ?: return false
+        return control.run {
+            state.receivePage(page, since, "router ${ahead.member.router}", currentMillis())
+            state.documents.revision > since
+        }
+    }
+
+    private fun RouterPart.isAhead(): Boolean = configurationRevision > state.documents.revision
+
+    private suspend fun pullVmList() {
+        val newest = control.run { state.parts.newestVmList() } ?: return
+        if (newest.vmListRevision <= control.run { state.vmList.revision }) return
+        val list = client.vms(newest.member.address).getOrNull() ?: return
+        control.run { state.receiveVmList(list, currentMillis()) }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/ClaimVoter.kt
@@ -0,0 +1,36 @@
+/*
+ * This router as a voter and a holder of claims, for its own claims and for those of its peers.
+ */
+package org.primrosesill.router
+
+import org.primrosesill.claim.ClaimTable
+import org.primrosesill.claim.HeldKeyClaims
+import org.primrosesill.claim.HolderOutcome
+import org.primrosesill.generated.ClaimRelease
+import org.primrosesill.generated.ClaimReply
+import org.primrosesill.generated.ClaimRequest
+import org.primrosesill.generated.StoredAnswer
+import org.primrosesill.model.ClaimResource
+
+/**
+ * Runs the functions of [table] on the control thread.
+ *
+ * @param held the key claims of this router; a function, because they call this voter and are created after it
+ */
+internal class ClaimVoter(
+    private val control: ControlThread,
+    private val table: ClaimTable,
+    private val held: () -> HeldKeyClaims,
+    private val currentMillis: () -> Long,
+) {
+    suspend fun vote(request: ClaimRequest): ClaimReply = control.run { table.vote(request, currentMillis()) }
+
+    suspend fun release(release: ClaimRelease) = control.run { table.release(release, currentMillis()) }
+
+    suspend fun store(answer: StoredAnswer) = control.run { table.store(answer, currentMillis()) }
+
+    suspend fun outcome(resource: ClaimResource): HolderOutcome =
+        held().outcome(resource, control.run { table.answer(resource) })
+
+    suspend fun answers(): List<StoredAnswer> = control.run { table.answers() }
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/LoadPollLoop.kt
@@ -0,0 +1,40 @@
+/*
+ * Polls the load reports of the upstreams that this router is assigned.
+ */
+package org.primrosesill.router
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.primrosesill.generated.LoadReport
+import org.primrosesill.http.LoadReportClient
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.routing.loadPollAssignment
+
+internal class LoadPollLoop(
+    private val control: ControlThread,
+    private val state: ControlState,
+    private val client: LoadReportClient,
+    private val currentMillis: () -> Long,
+) {
+    /** Polls all assigned upstreams once, in parallel. */
+    suspend fun poll() {
+        val assigned = control.run { assignment() }
+        val reports =
+            coroutineScope {
+                assigned.map { (upstream, address) -> async { read(upstream, address) } }.awaitAll().filterNotNull()
+            }
+        control.run { state.receiveReports(reports, assigned.keys, currentMillis()) }
+    }
+
+    /** A report that names another upstream comes from a VM whose address was given away, and is dropped. */
+    private suspend fun read(upstream: UpstreamId, address: String): LoadReport? =
+        client.read(address)?.takeIf { it.upstream == upstream }
+
+    private fun assignment(): Map<UpstreamId, String> {
+        val members = state.members
+        val routers = members.live().associate { it.router to it.availabilityZone }
+        val own = loadPollAssignment(members.self().router, routers, state.upstreams.pollableZones)
+        return state.upstreams.addresses.filterKeys { it in own }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/PeerMessages.kt
@@ -0,0 +1,49 @@
+/*
+ * What this router answers to the messages of its peers.
+ */
+package org.primrosesill.router
+
+import org.primrosesill.generated.ClaimOutcome
+import org.primrosesill.generated.ClaimRelease
+import org.primrosesill.generated.ClaimReply
+import org.primrosesill.generated.ClaimRequest
+import org.primrosesill.generated.ConfigurationPage
+import org.primrosesill.generated.ExchangeMessage
+import org.primrosesill.generated.LeaseReply
+import org.primrosesill.generated.LeaseRequest
+import org.primrosesill.generated.StoredAnswer
+import org.primrosesill.generated.VmList
+import org.primrosesill.http.PeerHandler
+import org.primrosesill.model.ClaimResource
+
+/** A page stays well below the bound on messages, so that one large document still fits. */
+private const val PAGE_BYTES = 512 * 1024
+
+internal class PeerMessages(
+    private val control: ControlThread,
+    private val state: ControlState,
+    private val voter: ClaimVoter,
+    private val leases: suspend (LeaseRequest) -> LeaseReply,
+    private val currentMillis: () -> Long,
+) : PeerHandler {
+    override suspend fun exchange(message: ExchangeMessage): ExchangeMessage =
+        control.run {
+            state.receive(message, currentMillis())
+            ExchangeMessage(message.round, listOf(state.ownPart()))
+        }
+
+    override suspend fun configuration(since: Long): ConfigurationPage =
+        control.run { state.documents.page(since, PAGE_BYTES) }
+
+    override suspend fun vms(): VmList = control.run { state.vmList }
+
+    override suspend fun claim(request: ClaimRequest): ClaimReply = voter.vote(request)
+
+    override suspend fun release(release: ClaimRelease): Unit = voter.release(release)
+
+    override suspend fun storeAnswer(answer: StoredAnswer): Unit = voter.store(answer)
+
+    override suspend fun outcome(resource: ClaimResource): ClaimOutcome = voter.outcome(resource).toClaimOutcome()
+
+    override suspend fun lease(request: LeaseRequest): LeaseReply = leases(request)
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/RouterParts.kt
@@ -0,0 +1,162 @@
+/*
+ * The parts of one router, put together from its settings. Nothing runs yet.
+ */
+package org.primrosesill.router
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.primrosesill.claim.ClaimContext
+import org.primrosesill.claim.ClaimSettings
+import org.primrosesill.claim.ClaimTable
+import org.primrosesill.claim.HeldKeyClaims
+import org.primrosesill.claim.KnownRouters
+import org.primrosesill.claim.quorumKeyClaims
+import org.primrosesill.claim.quorumSlotClaims
+import org.primrosesill.configuration.DocumentStore
+import org.primrosesill.event.EventLog
+import org.primrosesill.exchange.PartTable
+import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
+import org.primrosesill.generated.RouterSettings
+import org.primrosesill.http.ktorUpstreamClient
+import org.primrosesill.http.loadReportClient
+import org.primrosesill.http.peerClient
+import org.primrosesill.limit.CustomerOwner
+import org.primrosesill.membership.MemberTable
+import org.primrosesill.membership.MemberTableSettings
+import org.primrosesill.model.RouterId
+import org.primrosesill.request.RequestFlowDependencies
+import org.primrosesill.request.requestFlow
+import org.primrosesill.routing.UpstreamTable
+import org.primrosesill.routing.affinityUpstreamSelector
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Everything that a router works with.
+ *
+ * @param scope runs what outlives one call; it ends with the router
+ */
+internal class RouterParts(
+    settings: RouterSettings,
+    val self: Member,
+    val events: EventLog,
+    private val scope: CoroutineScope,
+    val currentMillis: () -> Long = System::currentTimeMillis,
+) : AutoCloseable {
+    val stopping = AtomicBoolean()
+    val control = ControlThread()
+    val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    val peers = peerClient(token = settings.peerToken)
+    val loadReports = loadReportClient()
+
+    private val claimSettings = ClaimSettings(clockToleranceMillis = settings.clockToleranceMillis)
+    private val upstreamClient = ktorUpstreamClient()
+    private val members = memberTable(settings)
+    val views = PublishedViews(members.snapshot())
+    private val known =
+        KnownRouters { instant ->
+            views.members
+                .get()
+                .takeIf { it.knowsCandidates }
+                ?.mayHaveBeenAliveAt(instant)
+        }
+    private val claimTable = ClaimTable(self.router, self.startedAtMillis, claimSettings, known)
+    val voter = ClaimVoter(control, claimTable, { keyClaims }, currentMillis)
+    private val claimContext =
+        ClaimContext(
+            self = { views.members.get().self },
+            known = known,
+            peers = PeerClaims(self, voter, peers),
+            settings = claimSettings,
+            currentMillis = currentMillis,
+            newAttempt = { UUID.randomUUID().toString() },
+            scope = scope,
+        )
+    private val customerOwner = CustomerOwner(self.startedAtMillis)
+    private val keyClaims: HeldKeyClaims = quorumKeyClaims(claimContext)
+    private val slotClaims = quorumSlotClaims(claimContext) { views.zoneOf(it) }
+    private val selector =
+        affinityUpstreamSelector(
+            snapshot = views.routing::get,
+            currentMillis = currentMillis,
+            routerSeed = UUID.fromString(self.router.value).mostSignificantBits,
+            events = events,
+            onCold = {
+                upstream,
+                bears,
+                ->
+                scope.launch { control.run { state.receiveCold(upstream, bears, currentMillis()) } }
+            },
+        )
+    val limits = RouterLimits(settings, self.router, views, control, customerOwner, peers, currentMillis)
+    val state: ControlState =
+        ControlState(
+            members = members,
+            parts = PartTable(self.router),
+            upstreams = UpstreamTable(),
+            documents = DocumentStore(),
+            claims = claimTable,
+            customers = customerOwner,
+            views = views,
+            events = events,
+            ownCounts = ::ownCounts,
+        )
+    val flow =
+        requestFlow(
+            RequestFlowDependencies(
+                configuration = views.configuration::get,
+                admission = limits.admission,
+                retryBudget = limits.retryBudget,
+                limiter = limits.limiter,
+                keyClaims = keyClaims,
+                slotClaims = slotClaims,
+                selector = selector,
+                client = upstreamClient,
+                events = events,
+                metrics = metrics,
+                currentMillis = currentMillis,
+            ),
+        )
+
+    override fun close() {
+        peers.close()
+        loadReports.close()
+        upstreamClient.close()
+        control.close()
+    }
+
+    private fun ownCounts() =
+        OwnCounts(
+            upstreams = selector.inFlight().mapKeys { it.key.value },
+            customers = limits.inFlight().mapKeys { it.key.value },
+        )
+
+    private fun memberTable(settings: RouterSettings) =
+        MemberTable(
+            self = self,
+            settingsPeers = settings.peers.toSet() - self.address,
+            expectsVmList = settings.platformAddress.isNotEmpty(),
+            settings =
+                MemberTableSettings(
+                    suspicionTimeoutMillis = settings.suspicionTimeoutMillis,
+                    clockToleranceMillis = settings.clockToleranceMillis,
+                ),
+        )
+}
+
+/** Returns the member that stands for this process. Each start is a new incarnation, because its memory is new. */
+internal fun newIncarnation(settings: RouterSettings, nowMillis: Long): Member =
+    Member(
+        router = RouterId(UUID.randomUUID().toString()),
+        address = settings.peerAddress,
+        availabilityZone = settings.availabilityZone,
+        startedAtMillis = nowMillis,
+        heartbeat = 0,
+        state = MemberState.LIVE,
+    )
+
+internal val RouterSettings.exchangeInterval get() = exchangeIntervalMillis.milliseconds
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/StatusSource.kt
@@ -0,0 +1,53 @@
+/*
+ * What a router tells its operators, put together from the published views.
+ */
+package org.primrosesill.router
+
+import org.primrosesill.generated.RouterStatus
+import org.primrosesill.generated.UpstreamState
+import org.primrosesill.generated.UpstreamStatus
+import org.primrosesill.http.OperatorSource
+import org.primrosesill.routing.UpstreamView
+
+internal class StatusSource(private val parts: RouterParts) : OperatorSource {
+    override fun notReadyBecause(): String? = parts.notReadyBecause()
+
+    override fun status(): RouterStatus {
+        val configuration = parts.views.configuration.get()
+        val members = parts.views.members.get()
+        val platform = parts.views.platform.get()
+        return RouterStatus(
+            member = members.self,
+            ready = notReadyBecause() == null,
+            configurationRevision = configuration.revision,
+            vmListRevision = platform.vmListRevision,
+            availabilityZones = configuration.fleet?.availabilityZones.orEmpty(),
+            outOfServiceVms = configuration.fleet?.outOfServiceVms.orEmpty(),
+            members = members.live,
+            upstreams = upstreams(),
+            refused = platform.refused,
+        )
+    }
+
+    private fun upstreams(): List<UpstreamStatus> =
+        parts.views.routing
+            .get()
+            .pools.values
+            .flatMap { it.upstreams }
+            .distinctBy { it.id }
+            .map(::upstreamStatus)
+
+    private fun upstreamStatus(view: UpstreamView) =
+        UpstreamStatus(
+            upstream = view.id,
+            availabilityZone = view.availabilityZone,
+            pools = view.pools,
+            state = view.state,
+            load = maxOf(view.reportedLoad, view.othersInFlight),
+            eligible = view.blockedBecause == null,
+            reason = view.blockedBecause ?: if (view.state == UpstreamState.COLD) "cold: slots only" else "",
+        )
+}
+
+internal fun RouterParts.notReadyBecause(): String? =
+    notReadyBecause(stopping.get(), views.configuration.get(), views.members.get())
--- a/src/main/kotlin/org/primrosesill/routing/UpstreamTable.kt
+++ b/src/main/kotlin/org/primrosesill/routing/UpstreamTable.kt
@@ -45,6 +45,13 @@
     /** All known upstreams with their zones, eligible or not. */
     public val zones: Map<UpstreamId, AvailabilityZoneId> get() = entries.mapValues { it.value.vm.availabilityZone }
 
+    /** The upstreams that report their load, with their zones. */
+    public val pollableZones: Map<UpstreamId, AvailabilityZoneId>
+        get() = entries.filterValues { it.vm.kind == VmKind.ENGINE }.mapValues { it.value.vm.availabilityZone }
+
+    /** Where each known upstream is reached. */
+    public val addresses: Map<UpstreamId, String> get() = entries.mapValues { it.value.vm.address }
+
     /** Takes over a VM list. One that is not newer than the list in force is ignored; an empty one removes nobody. */
     public fun applyVmList(list: VmList, nowMillis: Long) {
         if (list.revision <= vmListRevision) return
--- a/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
@@ -27,6 +27,7 @@
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
 import org.primrosesill.generated.StoredAnswer
+import org.primrosesill.generated.VmList
 import org.primrosesill.model.ClaimResource
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.RouterId
@@ -76,6 +77,7 @@
                 client.lease(address, LeaseRequest(CustomerId("c"), router, 3)).getOrNull()?.granted,
             ).isEqualTo(3)
             expectThat(client.configuration(address, 41).getOrNull()?.revision).isEqualTo(41)
+            expectThat(client.vms(address).getOrNull()?.revision).isEqualTo(12)
             expectThat(client.outcome(address, resource).getOrNull()?.state).isEqualTo(ClaimState.NOT_HELD)
             client.storeAnswer(address, answer)
             expectThat(client.outcome(address, resource).getOrNull()?.answer).isEqualTo(answer)
@@ -161,6 +163,8 @@
             return ConfigurationPage(since, emptyList())
         }
 
+        override suspend fun vms() = VmList(12, emptyList())
+
         override suspend fun claim(request: ClaimRequest) = ClaimReply(request.claimant, ClaimVote.GRANTED)
 
         override suspend fun release(release: ClaimRelease) {
