--- a/src/main/kotlin/org/primrosesill/http/CallerListener.kt
+++ b/src/main/kotlin/org/primrosesill/http/CallerListener.kt
@@ -6,12 +6,17 @@
 
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
-import io.ktor.server.application.install
 import io.ktor.server.application.serverConfig
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
-import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.http.HttpRequestCloseHandlerKey
+import io.ktor.server.request.httpVersion
+import io.ktor.utils.io.InternalAPI
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.job
+import org.primrosesill.request.CallerRequest
 import org.primrosesill.request.RequestFlow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -61,7 +66,6 @@
             CIO,
             serverConfig {
                 module {
-                    install(HttpRequestLifecycle) { cancelCallOnClose = true }
                     intercept(ApplicationCallPipeline.Call) { serve(context) }
                 }
             },
@@ -88,7 +92,23 @@
         val request = callerRequest(call, settings)
         val answer = KtorCallerAnswer(call, request.id, settings)
         val failure = headFailure(call, request, settings)
-        if (failure == null) flow.handle(request, answer) else answer.refuse(failure)
+        if (failure != null) return answer.refuse(failure)
+        coroutineScope {
+            onCallerGone(call, request) { coroutineContext.job.cancel(CancellationException("the caller has gone")) }
+            flow.handle(request, answer)
+        }
+    }
+
+    /**
+     * The engine calls the handler when no further request can come on the connection. That is the end of the connection
+     * only if it would otherwise stay open; after `Connection: close` the handler would cut an answer to a caller that
+     * is still there, which the library's own HttpRequestLifecycle plugin does. Those callers are noticed when a write
+     * to them fails.
+     */
+    @OptIn(InternalAPI::class)
+    private fun onCallerGone(call: ApplicationCall, request: CallerRequest, handler: () -> Unit) {
+        val closes = request.headers["connection"].orEmpty().any { it.contains("close", ignoreCase = true) }
+        if (call.request.httpVersion == "HTTP/1.1" && !closes) call.attributes.put(HttpRequestCloseHandlerKey, handler)
     }
 
     private companion object {
--- a/src/main/kotlin/org/primrosesill/http/CallerRequests.kt
+++ b/src/main/kotlin/org/primrosesill/http/CallerRequests.kt
@@ -21,16 +21,18 @@
 private const val BUFFER_BYTES = 16 * 1024
 
 internal fun callerRequest(call: ApplicationCall, settings: CallerListenerSettings): CallerRequest {
-    val headers =
-        call.request.headers
-            .entries()
-            .associate { (name, values) -> name.lowercase() to values }
+    // The engine has one entry for each line of the head.
+    val lines = call.request.headers.entries()
+    val headers = lines.groupBy({ it.key.lowercase() }, { it.value.first() })
     return CallerRequest(
         id = requestIdFrom(headers["x-request-id"]?.singleOrNull()),
         method = call.request.httpMethod.value,
         path = call.request.uri,
         headers = headers,
     ) { limit ->
+        // Without either header there is no body, but the engine would wait for the end of the connection.
+        val hasBody = "content-length" in headers || "transfer-encoding" in headers
+        if (!hasBody) return@CallerRequest ByteArray(0).right()
         withTimeoutOrNull(settings.bodyTimeout) { receiveBody(call, headers["content-length"]?.first(), limit) }
             ?: Failure.BodyIncomplete("it took longer than ${settings.bodyTimeout}").left()
     }
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/http/RawUpstream.kt
@@ -0,0 +1,94 @@
+/*
+ * An upstream on a bare socket, which can fail after any byte.
+ */
+package org.primrosesill.http
+
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** One connection of a [RawUpstream]. */
+class RawConnection(private val socket: Socket) {
+    private val input = socket.getInputStream()
+
+    /** Reads up to [count] bytes and returns them. */
+    fun read(count: Int): String = input.readNBytes(count).decodeToString()
+
+    /** Reads until the empty line after the head, or the end of the connection. */
+    fun readHead(): String {
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val byte = input.read()
+            if (byte < 0) break
+            head.append(byte.toChar())
+        }
+        return head.toString()
+    }
+
+    /** Reads one whole request and returns its head. */
+    fun readRequest(): String = readHead().also { head -> headerOf(head, "content-length")?.let { read(it.toInt()) } }
+
+    fun write(text: String) = socket.getOutputStream().write(text.toByteArray())
+
+    /** Closes the connection so that the other side sees a reset. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    /** Waits until the other side has closed the connection; false after [timeoutMillis]. */
+    fun awaitClosed(timeoutMillis: Int = 3_000): Boolean {
+        socket.soTimeout = timeoutMillis
+        return try {
+            while (input.read() >= 0) Unit
+            true
+        } catch (exception: IOException) {
+            exception !is java.net.SocketTimeoutException
+        }
+    }
+}
+
+fun headerOf(head: String, name: String): String? =
+    head
+        .lines()
+        .firstOrNull { it.startsWith("$name:", ignoreCase = true) }
+        ?.substringAfter(':')
+        ?.trim()
+
+/** Runs [script] for each connection, and closes the connection after it. */
+class RawUpstream(private val script: (RawConnection) -> Unit) : AutoCloseable {
+    private val server = ServerSocket(0, 64, InetAddress.getLoopbackAddress())
+    val connections = AtomicInteger()
+    val address = "127.0.0.1:${server.localPort}"
+
+    private val acceptor =
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket =
+                    try {
+                        server.accept()
+                    } catch (_: IOException) {
+                        break
+                    }
+                connections.incrementAndGet()
+                thread(isDaemon = true) { serve(socket) }
+            }
+        }
+
+    private fun serve(socket: Socket) =
+        socket.use {
+            try {
+                script(RawConnection(it))
+            } catch (_: IOException) {
+                // The other side closed first.
+            }
+        }
+
+    override fun close() {
+        server.close()
+        acceptor.join()
+    }
+}
