--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/command/Addresses.kt
@@ -0,0 +1,18 @@
+/*
+ * Options that hold the address of a listener.
+ */
+package org.primrosesill.command
+
+import arrow.core.getOrElse
+import com.github.ajalt.clikt.core.ParameterHolder
+import com.github.ajalt.clikt.parameters.options.NullableOption
+import com.github.ajalt.clikt.parameters.options.convert
+import com.github.ajalt.clikt.parameters.options.option
+import org.primrosesill.http.SocketAddress
+import org.primrosesill.http.parseSocketAddress
+
+/** An option with an IP number and a port. Port 0 means any free port. */
+internal fun ParameterHolder.addressOption(name: String, help: String): NullableOption<SocketAddress, SocketAddress> =
+    option(name, help = help, metavar = "ip:port").convert { text ->
+        parseSocketAddress(text).getOrElse { fail(it.toString()) }
+    }
