Match upstream executions to the caller's request id

Routers add a dot and a suffix to the request id in calls to upstreams, so the time line found no request that two processes share. It now compares the caller's id.

--- a/src/main/kotlin/org/primrosesill/command/RootCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RootCommand.kt
@@ -11,7 +11,8 @@
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.output.MordantHelpFormatter
 
-private val subcommands: List<() -> CliktCommand> = listOf(::StatusCommand, ::TimelineCommand, ::standInCommand)
+private val subcommands: List<() -> CliktCommand> =
+    listOf(::CheckCommand, ::StatusCommand, ::TimelineCommand, ::standInCommand)
 
 /** Returns the `primrosesill` command. Each option can also be given by an environment variable. */
 public fun rootCommand(): CliktCommand =
--- a/src/main/kotlin/org/primrosesill/event/Timeline.kt
+++ b/src/main/kotlin/org/primrosesill/event/Timeline.kt
@@ -136,15 +136,17 @@
 
 /** Upstreams do not know customers, so a customer's events include all events of the customer's requests. */
 private fun matching(records: List<EventRecord>, filter: TimelineFilter): (EventRecord) -> Boolean {
+    val names = RequestNames(records)
     val requests =
         records
             .filter { it.customer != null && it.customer == filter.customer }
-            .mapNotNullTo(hashSetOf()) { it.request }
+            .mapNotNullTo(hashSetOf(), names::callersName)
     return { record ->
-        matches(filter.request) { record.request == it } &&
+        val request = names.callersName(record)
+        matches(filter.request) { request == it || record.request == it } &&
             matches(filter.upstream) { record.upstream == it || it.value in listOf(record.process, record.subject) } &&
             matches(filter.availabilityZone) { record.availabilityZone == it || record.subject == it.value } &&
-            matches(filter.customer) { record.customer == it || record.request in requests }
+            matches(filter.customer) { record.customer == it || request in requests }
     }
 }
 
--- a/src/main/kotlin/org/primrosesill/event/TimelineClock.kt
+++ b/src/main/kotlin/org/primrosesill/event/TimelineClock.kt
@@ -6,7 +6,7 @@
 
 import org.primrosesill.generated.EventRecord
 import org.primrosesill.generated.EventType
-import org.primrosesill.model.RequestId
+import java.util.PriorityQueue
 
 /** Bounds of the correction of [upstream] against [router], from requests that both saw. */
 private class ClockLink(val router: String, val upstream: String, bounds: List<Pair<Long?, Long?>>) {
@@ -31,26 +31,27 @@
  */
 internal fun estimateClocks(records: List<EventRecord>, given: Map<String, Long>): Map<String, ClockCorrection> {
     val links = clockLinks(records)
+    val linksOf = links.flatMap { listOf(it.router to it, it.upstream to it) }.groupBy({ it.first }, { it.second })
     val corrections = given.mapValuesTo(sortedMapOf()) { (_, millis) -> ClockCorrection(millis, given = true) }
     val open = records.mapTo(sortedSetOf()) { it.process }
     open -= corrections.keys
+    val reachable = PriorityQueue<ClockLink>(compareBy { it.uncertaintyMillis })
+    corrections.keys.forEach { reachable += linksOf[it].orEmpty() }
     while (open.isNotEmpty()) {
-        val link =
-            links
-                .filter { (it.router in corrections) != (it.upstream in corrections) }
-                .minByOrNull { it.uncertaintyMillis }
-        val next = if (link == null) mostLinked(open, links) else link.endIn(open)
+        val link = reachable.poll()
+        val next = if (link == null) mostLinked(open, linksOf) else link.endIn(open) ?: continue
         corrections[next] = link?.let { correct(it, corrections) } ?: ClockCorrection()
         open -= next
+        reachable += linksOf[next].orEmpty()
     }
     return corrections
 }
 
-private fun ClockLink.endIn(open: Set<String>): String = if (router in open) router else upstream
+private fun ClockLink.endIn(open: Set<String>): String? = listOf(router, upstream).firstOrNull { it in open }
 
 // A router is the better reference, because operators compare its times with those of callers.
-private fun mostLinked(open: Set<String>, links: List<ClockLink>): String =
-    open.maxBy { process -> links.filter { it.router == process }.sumOf { it.requests } }
+private fun mostLinked(open: Set<String>, linksOf: Map<String, List<ClockLink>>): String =
+    open.maxBy { process -> linksOf[process].orEmpty().filter { it.router == process }.sumOf { it.requests } }
 
 private fun correct(link: ClockLink, known: Map<String, ClockCorrection>): ClockCorrection {
     val fromRouter = known[link.router]
@@ -65,12 +66,13 @@
 
 private fun clockLinks(records: List<EventRecord>): List<ClockLink> {
     val bounds = mutableMapOf<Pair<String, String>, MutableList<Pair<Long?, Long?>>>()
-    val byRequest = records.filter { it.request != null }.groupBy { it.request }
-    for ((request, events) in byRequest) {
+    val names = RequestNames(records)
+    val byRequest = records.filter { it.request != null }.groupBy { names.callersName(it) }
+    for (events in byRequest.values) {
         for (executed in events.filter { it.type == EventType.REQUEST_EXECUTED }) {
             val routed =
                 events
-                    .filter { it.isRoutingOf(request, executed) }
+                    .filter { it.isRoutingOf(executed) }
                     .minByOrNull { it.atMillis } ?: continue
             val ends = endsOf(events, routed, executed)
             bounds.getOrPut(routed.process to executed.process, ::mutableListOf) +=
@@ -80,8 +82,8 @@
     return bounds.map { (processes, pairs) -> ClockLink(processes.first, processes.second, pairs) }
 }
 
-private fun EventRecord.isRoutingOf(id: RequestId?, executed: EventRecord): Boolean =
-    type == EventType.REQUEST_ROUTED && request == id && process != executed.process &&
+private fun EventRecord.isRoutingOf(executed: EventRecord): Boolean =
+    type == EventType.REQUEST_ROUTED && process != executed.process &&
         (upstream == null || upstream == executed.upstream)
 
 /**
--- a/src/main/kotlin/org/primrosesill/event/TimelineReader.kt
+++ b/src/main/kotlin/org/primrosesill/event/TimelineReader.kt
@@ -5,6 +5,8 @@
 
 import kotlinx.serialization.json.Json
 import org.primrosesill.generated.EventRecord
+import org.primrosesill.generated.EventType
+import org.primrosesill.model.RequestId
 
 // Newer releases may add fields.
 private val eventJson = Json { ignoreUnknownKeys = true }
@@ -27,3 +29,15 @@
     } catch (_: IllegalArgumentException) {
         null
     }
+
+/** Finds the caller's name of a request. Routers add a dot and a suffix to it in their calls to upstreams. */
+internal class RequestNames(records: List<EventRecord>) {
+    private val routed =
+        records.filter { it.type == EventType.REQUEST_ROUTED }.mapNotNullTo(hashSetOf()) { it.request }
+
+    fun callersName(record: EventRecord): RequestId? {
+        val request = record.request ?: return null
+        val withoutSuffix = RequestId(request.value.substringBeforeLast('.'))
+        return if (request !in routed && withoutSuffix in routed) withoutSuffix else request
+    }
+}
--- a/src/main/kotlin/org/primrosesill/standin/ServiceListener.kt
+++ b/src/main/kotlin/org/primrosesill/standin/ServiceListener.kt
@@ -26,6 +26,7 @@
 import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.RequestId
 import org.primrosesill.model.UpstreamId
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
@@ -54,12 +55,12 @@
     currentMillis: () -> Long,
 ) {
     val running = AtomicInteger()
-    var leaving = false
+    val leaving = AtomicBoolean()
 
     suspend fun ApplicationCall.serve(run: (String) -> Pair<HttpStatusCode, String>) {
         running.incrementAndGet()
         try {
-            if (leaving) {
+            if (leaving.get()) {
                 respondNotRun("the service is leaving", UpstreamState.LEAVING)
             } else {
                 runWithFault(desk, settings, events, run)
@@ -78,13 +79,13 @@
         call.serve { HttpStatusCode.OK to standInJson.encodeToString(desk.stock(item, it, currentMillis())) }
     }
     get("/load") {
-        val state = if (leaving) UpstreamState.LEAVING else UpstreamState.WARM
+        val state = if (leaving.get()) UpstreamState.LEAVING else UpstreamState.WARM
         call.respondJson(LoadReport(settings.upstream, state, running.get(), 0, reportedAtMillis = currentMillis()))
     }
-    serviceControls(desk) { leaving = it }
+    serviceControls(desk, leaving)
 }
 
-private fun Route.serviceControls(desk: BookingDesk, setLeaving: (Boolean) -> Unit) {
+private fun Route.serviceControls(desk: BookingDesk, leaving: AtomicBoolean) {
     get("/stand-in/executions") { call.respondJson(desk.page()) }
     put("/stand-in/fault") {
         val switch = call.receiveJson<FaultSwitch>() ?: return@put
@@ -93,7 +94,7 @@
     }
     put("/stand-in/mode") {
         val switch = call.receiveJson<ServiceSwitch>() ?: return@put
-        setLeaving(switch.leaving)
+        leaving.set(switch.leaving)
         call.respondJson(switch)
     }
 }
