--- a/src/main/kotlin/org/primrosesill/router/RouterParts.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterParts.kt
@@ -20,9 +20,9 @@
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
 import org.primrosesill.generated.RouterSettings
-import org.primrosesill.http.ktorUpstreamClient
 import org.primrosesill.http.loadReportClient
 import org.primrosesill.http.peerClient
+import org.primrosesill.http.upstreamClient
 import org.primrosesill.limit.CustomerOwner
 import org.primrosesill.membership.MemberTable
 import org.primrosesill.membership.MemberTableSettings
@@ -54,7 +54,6 @@
     val loadReports = loadReportClient()
 
     private val claimSettings = ClaimSettings(clockToleranceMillis = settings.clockToleranceMillis)
-    private val upstreamClient = ktorUpstreamClient()
     private val members = memberTable(settings)
     val views = PublishedViews(members.snapshot())
     private val known =
@@ -115,7 +114,7 @@
                 keyClaims = keyClaims,
                 slotClaims = slotClaims,
                 selector = selector,
-                client = upstreamClient,
+                client = upstreamClient(),
                 events = events,
                 metrics = metrics,
                 currentMillis = currentMillis,
@@ -125,7 +124,6 @@
     override fun close() {
         peers.close()
         loadReports.close()
-        upstreamClient.close()
         control.close()
     }
 
