Order a process's events by sequence number in the time line

Threads of a router may write two event lines in another order than they numbered them, and the time line reported such a log as having lost events. Each incarnation is now sorted by sequence number before losses are counted.

--- a/src/main/kotlin/org/primrosesill/event/Timeline.kt
+++ b/src/main/kotlin/org/primrosesill/event/Timeline.kt
@@ -83,7 +83,7 @@
     )
 }
 
-/** Splits [files] into runs of one process each, in the order written. A file that is given twice counts once. */
+/** Splits [files] into runs of one process each, in the process's own order. A file that is given twice counts once. */
 private fun runs(files: List<EventFile>): List<List<EventRecord>> {
     val seen = hashSetOf<EventRecord>()
     return files.flatMap { file ->
@@ -91,9 +91,19 @@
             .filter(seen::add)
             .groupBy { it.process }
             .values
+            .flatMap(::incarnations)
     }
 }
 
+/**
+ * Splits the log of one process where it was started again and counts from 1 anew. Threads may write their lines in
+ * another order than they numbered them, so each part is sorted.
+ */
+private fun incarnations(log: List<EventRecord>): List<List<EventRecord>> {
+    val starts = listOf(0) + (1 until log.size).filter { log[it].sequence == 1L } + log.size
+    return starts.zipWithNext { from, to -> log.subList(from, to).sortedBy { it.sequence } }.filter { it.isNotEmpty() }
+}
+
 private fun missing(run: List<EventRecord>): Long =
     run.zipWithNext { before, after -> (after.sequence - before.sequence - 1).coerceAtLeast(0) }.sum()
 
