--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/experiment/ProductPolicy.kt
@@ -0,0 +1,134 @@
+/*
+ * The product's own decision code in a routing trial: one upstream table and one selector for each router, and between
+ * them a delay line that stands in for the exchange, the load polls and the platform.
+ */
+package org.primrosesill.experiment
+
+import org.primrosesill.generated.AvailabilityZoneSettings
+import org.primrosesill.generated.FleetDocument
+import org.primrosesill.generated.LoadReport
+import org.primrosesill.generated.PoolKind
+import org.primrosesill.generated.PoolSettings
+import org.primrosesill.generated.VmEntry
+import org.primrosesill.generated.VmKind
+import org.primrosesill.generated.VmList
+import org.primrosesill.generated.VmState
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.PoolId
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.model.VmId
+import org.primrosesill.routing.RoutingRequest
+import org.primrosesill.routing.RoutingSnapshot
+import org.primrosesill.routing.UpstreamSelector
+import org.primrosesill.routing.UpstreamTable
+import org.primrosesill.routing.affinityUpstreamSelector
+
+private val trialPool = PoolId("trial")
+
+private fun zoneId(zone: Int) = AvailabilityZoneId("zone-$zone")
+
+internal class ProductPolicy(private val settings: RoutingTrialSettings, private val fleet: TrialFleet) :
+    RoutingPolicy {
+    private val snapshots = Array(settings.routers) { RoutingSnapshot() }
+    private var nowMillis = 0L
+    private val tables = List(settings.routers) { UpstreamTable() }
+    private val selectors = List(settings.routers, ::newSelector)
+    private val ids = fleet.engines.map { it.id }
+    private val indexes = ids.withIndex().associate { (index, id) -> id to index }
+
+    /** Counts and reports that each router sent in its rounds, oldest first. */
+    private val sentCounts = List(settings.routers) { ArrayDeque<Pair<Long, IntArray>>() }
+    private val polledReports = ArrayDeque<Pair<Long, List<LoadReport>>>()
+
+    /** Reports made from refusals that said cold, spread like polled ones. */
+    private val refusalReports = ArrayDeque<Pair<Long, LoadReport>>()
+
+    private fun newSelector(router: Int): UpstreamSelector =
+        affinityUpstreamSelector(
+            snapshot = { snapshots[router] },
+            currentMillis = { nowMillis },
+            routerSeed = router.toLong(),
+            onCold = { id, bears ->
+                tables[router].recordCold(id, bears, nowMillis)?.let { refusalReports += nowMillis to it }
+            },
+        )
+
+    override fun choose(router: Int, prompt: TrialPrompt, excluded: Set<Int>, nowMillis: Long): TrialChoice? {
+        this.nowMillis = nowMillis
+        val request = RoutingRequest(trialPool, prompt.chat.toString(), excluded.mapTo(HashSet()) { ids[it] })
+        return selectors[router].choose(request).fold(
+            { null },
+            { TrialChoice(indexes.getValue(it.upstream.id), it.slotNeeded) },
+        )
+    }
+
+    override fun finish(router: Int, engine: Int) = selectors[router].finish(ids[engine])
+
+    override fun recordConnection(router: Int, engine: Int, succeeded: Boolean) =
+        selectors[router].recordConnection(ids[engine], succeeded)
+
+    override fun recordCold(router: Int, engine: Int, bears: Int) = selectors[router].recordCold(ids[engine], bears)
+
+    /** The platform tells [router] which engines exist and which zones are out. */
+    fun platform(router: Int, revision: Long, list: List<VmEntry>, zonesOut: Set<Int>, nowMillis: Long) {
+        tables[router].applyVmList(VmList(revision, list), nowMillis)
+        tables[router].applyFleet(fleetDocument(zonesOut))
+    }
+
+    fun vmEntries(): List<VmEntry> =
+        fleet.engines.filter { it.present }.map {
+            val state = if (it.leaving) VmState.LEAVING else VmState.LIVE
+            VmEntry(VmId(it.id.value), zoneId(it.zone), VmKind.ENGINE, "127.0.0.1:1", state, listOf(trialPool))
+        }
+
+    private fun fleetDocument(zonesOut: Set<Int>): FleetDocument =
+        FleetDocument(
+            List(settings.zones) { AvailabilityZoneSettings(zoneId(it), outOfService = it in zonesOut) },
+            listOf(PoolSettings(trialPool, PoolKind.CHAT)),
+            allowAllZonesOut = true,
+        )
+
+    /** The routers poll all engines. */
+    fun poll(nowMillis: Long) {
+        polledReports += nowMillis to fleet.engines.filter { it.present }.map { it.report(nowMillis) }
+        while (polledReports.size > HISTORY) polledReports.removeFirst()
+    }
+
+    /** One round of [router]: it sends its counts. */
+    fun send(router: Int, nowMillis: Long) {
+        val counts = IntArray(ids.size)
+        selectors[router].inFlight().forEach { (id, count) -> counts[indexes.getValue(id)] = count }
+        sentCounts[router] += nowMillis to counts
+        while (sentCounts[router].size > HISTORY) sentCounts[router].removeFirst()
+    }
+
+    /** The control thread of [router] takes over what has arrived and renews the snapshot. */
+    fun refresh(router: Int, nowMillis: Long) {
+        this.nowMillis = nowMillis
+        val arrived = nowMillis - settings.exchangeDelayMillis
+        val table = tables[router]
+        table.applyOthersInFlight(othersInFlight(router, arrived))
+        polledReports.lastOrNull { it.first <= arrived }?.let { table.applyReports(it.second, nowMillis) }
+        while (refusalReports.isNotEmpty() && refusalReports.first().first < nowMillis - REFUSAL_MEMORY_MILLIS) {
+            refusalReports.removeFirst()
+        }
+        table.applyReports(refusalReports.filter { it.first <= arrived }.map { it.second }, nowMillis)
+        snapshots[router] = table.tick(nowMillis).snapshot
+    }
+
+    private fun othersInFlight(router: Int, arrivedMillis: Long): Map<UpstreamId, Int> {
+        val sums = IntArray(ids.size)
+        for (other in sentCounts.indices) {
+            if (other == router) continue
+            val counts = sentCounts[other].lastOrNull { it.first <= arrivedMillis }?.second ?: continue
+            for (index in sums.indices) sums[index] += counts[index]
+        }
+        return sums.indices.filter { sums[it] > 0 }.associate { ids[it] to sums[it] }
+    }
+
+    private companion object {
+        /** Rounds kept in the delay line; more than the longest delay needs. */
+        const val HISTORY = 8
+        const val REFUSAL_MEMORY_MILLIS = 5_000L
+    }
+}
--- a/src/main/kotlin/org/primrosesill/routing/CandidateSet.kt
+++ b/src/main/kotlin/org/primrosesill/routing/CandidateSet.kt
@@ -5,6 +5,10 @@
 package org.primrosesill.routing
 
 import org.primrosesill.generated.UpstreamState
+import java.util.concurrent.atomic.AtomicInteger
+
+/** The total is counted again after this part of it. */
+private const val RECOUNT_PART = 64
 
 internal class CandidateSet(pool: PoolView, countersOf: (UpstreamView) -> UpstreamCounters) {
     private val eligible = pool.upstreams.filter { it.blockedBecause == null && it.state != UpstreamState.LEAVING }
@@ -19,9 +23,44 @@
     private val others: IntArray = IntArray(size) { views[it].othersInFlight }
     private val reported: IntArray = IntArray(size) { views[it].reportedLoad }
 
+    private val started = AtomicInteger()
+
+    @Volatile
+    private var counted: Count? = null
+
     /** Requests at a candidate: what it reported, or what routers count when that is more. */
     fun load(index: Int): Int = maxOf(reported[index], others[index] + counters[index].inFlight.get())
 
+    /**
+     * The most requests that a warm candidate may carry. Reading all loads takes longer than the rest of a decision, so
+     * that the total is counted again only after a small part of it has started here.
+     */
+    fun bound(nowMillis: Long): Double {
+        val held = counted
+        val startedHere = started.incrementAndGet()
+        if (held != null && startedHere - held.startedBefore <= held.total / RECOUNT_PART) {
+            return loadBound(held.total + startedHere - held.startedBefore, held.shares, loadMultiple)
+        }
+        return count(
+            startedHere,
+            nowMillis,
+        ).also { counted = it }.let { loadBound(it.total + 1, it.shares, loadMultiple) }
+    }
+
+    /** Upstreams that have just become warm count as the part that they may carry. */
+    private fun count(startedBefore: Int, nowMillis: Long): Count {
+        var total = 0
+        var shares = 0.0
+        for (index in 0 until size) {
+            if (isCold(index, nowMillis)) continue
+            total += load(index)
+            shares += rampShares[index]
+        }
+        return Count(total, maxOf(1.0, shares), startedBefore)
+    }
+
+    private class Count(val total: Int, val shares: Double, val startedBefore: Int)
+
     /** True when the snapshot or an answer since says that the candidate is cold. */
     fun isCold(index: Int, nowMillis: Long): Boolean = cold[index] || counters[index].isCold(nowMillis)
 
--- a/src/main/kotlin/org/primrosesill/routing/LoadBound.kt
+++ b/src/main/kotlin/org/primrosesill/routing/LoadBound.kt
@@ -10,14 +10,14 @@
 private const val SMALL_MEAN = 4.0
 
 /**
- * Returns the most requests that one of [count] upstreams may carry when [total] requests run in the pool.
+ * Returns the most requests that one of [count] upstreams may carry when [total] requests run in the pool. An upstream
+ * that may carry only a part of its share counts as that part.
  *
  * Requests are whole, so that a bound below the mean plus one would leave no room for the next request. The bound is
  * therefore rounded up below a mean of 4, which is less than one request over the multiple, and rounded down from there.
  */
-public fun loadBound(total: Int, count: Int, loadMultiple: Double): Int {
-    if (count == 0) return 0
-    val mean = total.toDouble() / count
+public fun loadBound(total: Int, count: Double, loadMultiple: Double): Double {
+    val mean = total / count
     val exact = loadMultiple * mean
-    return (if (mean < SMALL_MEAN) ceil(exact) else floor(exact)).toInt()
+    return if (mean < SMALL_MEAN) ceil(exact) else floor(exact)
 }
--- a/src/main/kotlin/org/primrosesill/routing/UpstreamSelector.kt
+++ b/src/main/kotlin/org/primrosesill/routing/UpstreamSelector.kt
@@ -44,15 +44,8 @@
  * What a router knows of the upstreams at one moment. Immutable; built by the control thread.
  *
  * @property atMillis when it was built, in milliseconds since the Unix epoch
- * @property routerPosition place of this router among the live ones, from 0
- * @property routerCount live routers, this one included
  */
-public data class RoutingSnapshot(
-    val pools: Map<PoolId, PoolView> = emptyMap(),
-    val atMillis: Long = 0,
-    val routerPosition: Int = 0,
-    val routerCount: Int = 1,
-)
+public data class RoutingSnapshot(val pools: Map<PoolId, PoolView> = emptyMap(), val atMillis: Long = 0)
 
 /**
  * A request that needs an upstream.
--- a/src/main/kotlin/org/primrosesill/routing/UpstreamTable.kt
+++ b/src/main/kotlin/org/primrosesill/routing/UpstreamTable.kt
@@ -35,8 +35,6 @@
     private val changes = mutableListOf<RoutingChange>()
     private var fleet: FleetDocument? = null
     private var othersInFlight: Map<UpstreamId, Int> = emptyMap()
-    private var routerPosition = 0
-    private var routerCount = 1
 
     /** Revision of the VM list in force, or -1 before the first one. */
     public var vmListRevision: Long = -1
@@ -125,12 +123,6 @@
         othersInFlight = counts
     }
 
-    /** Takes over the number of live routers and the position of this one among them, in the order of their ids. */
-    public fun applyRouters(position: Int, count: Int) {
-        routerPosition = position
-        routerCount = maxOf(1, count)
-    }
-
     /** Advances time, and returns the view for traffic and what changed since the last call. */
     public fun tick(nowMillis: Long): RoutingUpdate {
         departed.values.removeIf { it < nowMillis }
@@ -157,7 +149,7 @@
     }
 
     private fun snapshot(nowMillis: Long): RoutingSnapshot {
-        val document = fleet ?: return RoutingSnapshot(routerPosition = routerPosition, routerCount = routerCount)
+        val document = fleet ?: return RoutingSnapshot()
         val zonesOut = document.zonesOut().keys
         val vmsOut = document.outOfServiceVms.toSet()
         val pools =
@@ -170,7 +162,7 @@
                     }
                 settings.id to PoolView(settings, views)
             }
-        return RoutingSnapshot(pools, nowMillis, routerPosition, routerCount)
+        return RoutingSnapshot(pools, nowMillis)
     }
 
     private fun blockedBecause(entry: UpstreamEntry, zonesOut: Set<AvailabilityZoneId>, vmsOut: Set<VmId>): String? =
