Read repeated options from one environment variable

Values are now separated by commas.

Result: CommandsTest passes with PRIMROSESILL_STATUS_ROUTER holding two addresses; before, the command refused the variable as no address.

--- a/src/main/kotlin/org/primrosesill/command/StatusCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/StatusCommand.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.split
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import kotlinx.coroutines.async
@@ -35,7 +36,8 @@
 private class JsonAnswer(val operatorAddress: String, val status: RouterStatus? = null, val failure: String? = null)
 
 internal class StatusCommand : CliktCommand("status") {
-    private val routers by addressOption("--router", "Operator address of a router; may be given more than once.")
+    private val routers by addressOption("--router", "Operator addresses of routers, separated by commas or repeated.")
+        .split(",")
         .multiple(required = true)
     private val token by option("--operator-token", help = "Bearer token of the operator listeners.").default("")
     private val timeout by option("--timeout", help = "Time each router has to answer.", metavar = "millis")
@@ -50,7 +52,7 @@
     override fun helpEpilog(context: Context): String = "Ends with status 1 when a router did not answer."
 
     override fun run() {
-        val answers = runBlocking { ask(routers) }
+        val answers = runBlocking { ask(routers.flatten()) }
         echo(if (json) statusJson.encodeToString(answers.map(::jsonAnswer)) else renderStatus(answers))
         if (answers.any { it.status == null }) throw ProgramResult(1)
     }
--- a/src/main/kotlin/org/primrosesill/command/TimelineCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/TimelineCommand.kt
@@ -12,6 +12,7 @@
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.split
 import com.github.ajalt.clikt.parameters.types.path
 import org.primrosesill.event.EventFile
 import org.primrosesill.event.Timeline
@@ -47,12 +48,13 @@
     private val customer by option("--customer", help = "Only events of this customer's requests.")
     private val offsets by option(
         "--offset",
-        help = "Milliseconds to add to the times of a process instead of an estimate; may be given more than once.",
+        help = "Milliseconds to add to the times of a process instead of an estimate, separated by commas or repeated.",
         metavar = "process=millis",
     ).convert { text ->
         val millis = text.substringAfterLast('=', "").toLongOrNull()
         text.substringBeforeLast('=') to (millis ?: fail("'$text' is not of the form process=millis"))
-    }.multiple()
+    }.split(",")
+        .multiple()
     private val html by option("--html", help = "Write an HTML page with one lane for each process.").path()
 
     override fun help(context: Context): String = "Merge the event logs of processes into one time line."
@@ -65,7 +67,8 @@
                 availabilityZone?.let(::AvailabilityZoneId),
                 customer?.let(::CustomerId),
             )
-        val timeline = mergeTimeline(files.map { read(it).getOrElse(::commandFailed) }, filter, offsets.toMap())
+        val timeline =
+            mergeTimeline(files.map { read(it).getOrElse(::commandFailed) }, filter, offsets.flatten().toMap())
         renderNotes(timeline).forEach { echo(it, err = true) }
         val target = html
         if (target == null) {
--- a/src/test/kotlin/org/primrosesill/command/CommandsTest.kt
+++ b/src/test/kotlin/org/primrosesill/command/CommandsTest.kt
@@ -60,6 +60,15 @@
             ),
             Case("a missing file is named", "stand-in platform --address 127.0.0.1:0 --vms none.json", 1, "none.json"),
             Case("a router that is down is a failure", "status --router 127.0.0.1:1", 1, "router-unreachable"),
+            Case(
+                "a repeated option is read from one variable",
+                "status",
+                1,
+                "127.0.0.1:2",
+                mapOf("PRIMROSESILL_STATUS_ROUTER" to "127.0.0.1:1,127.0.0.1:2"),
+            ),
+            Case("an offset without a number is named", "timeline pom.xml --offset p", 1, "process=millis"),
+            Case("an event log that is missing is a typed failure", "timeline none.jsonl", 2, "file-not-readable"),
             Case("a router that is down shows in JSON", "status --json --router 127.0.0.1:1", 1, "\"failure\""),
         ).map { DynamicTest.dynamicTest(it.name) { check(it) } }
 
