--- a/src/main/kotlin/org/primrosesill/command/RootCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RootCommand.kt
@@ -12,7 +12,14 @@
 import com.github.ajalt.clikt.output.MordantHelpFormatter
 
 private val subcommands: List<() -> CliktCommand> =
-    listOf(::RouterCommand, ::CheckCommand, ::StatusCommand, ::TimelineCommand, ::standInCommand)
+    listOf(
+        ::RouterCommand,
+        ::CheckCommand,
+        ::StatusCommand,
+        ::TimelineCommand,
+        ::experimentCommand,
+        ::standInCommand,
+    )
 
 /** Returns the `primrosesill` command. Each option can also be given by an environment variable. */
 public fun rootCommand(): CliktCommand =
--- a/src/main/kotlin/org/primrosesill/router/ControlState.kt
+++ b/src/main/kotlin/org/primrosesill/router/ControlState.kt
@@ -139,8 +139,6 @@
     }
 
     private fun publish(nowMillis: Long) {
-        val live = members.live()
-        upstreams.applyRouters(live.indexOfFirst { it.router == members.self().router }, live.size)
         upstreams.applyOthersInFlight(parts.inFlight(nowMillis))
         val update = upstreams.tick(nowMillis)
         update.changes.forEach { events.record(it.type, it.cause, it.subject) }
