--- a/src/main/kotlin/org/primrosesill/admission/PriorityAdmissionControl.kt
+++ b/src/main/kotlin/org/primrosesill/admission/PriorityAdmissionControl.kt
@@ -22,7 +22,8 @@
  * @property maximumInFlight the limit never exceeds it
  * @property minimumInFlight the limit never falls below it, so that recovery can be seen
  * @property windowRequests requests whose mean duration is compared with the best one
- * @property baselineWindows windows over which the best mean is remembered
+ * @property baselineWindows windows after which the best duration is measured again with half the limit. Without that
+ *     probe, a queue that lasts would become the new best duration and the limit would grow without end.
  * @property tolerance durations up to this multiple of the best are not taken for a queue
  * @property lowestShare part of the limit that priority 9 may use; the parts of the others lie evenly above it
  */
@@ -81,7 +82,9 @@
     private var used = false
     private var finished = 0
     private var totalNanos = 0.0
-    private val means = ArrayDeque<Double>()
+    private var best = Double.MAX_VALUE
+    private var windows = 0
+    private var beforeProbe = 0.0
 
     /** Records that the limit refused a request, without which it has no reason to grow. */
     fun reached() {
@@ -95,14 +98,34 @@
 
     private fun endWindow() {
         val mean = maxOf(totalNanos / finished, 1.0)
-        means.addLast(mean)
-        if (means.size > settings.baselineWindows) means.removeFirst()
-        val gradient = (settings.tolerance * means.min() / mean).coerceIn(0.5, 1.0)
-        val growth = if (used) sqrt(value) else 0.0
-        val next = if (gradient < 1) value * gradient else value + growth
-        value = next.coerceIn(settings.minimumInFlight.toDouble(), settings.maximumInFlight.toDouble())
+        windows++
+        when (windows) {
+            settings.baselineWindows -> startProbe()
+            // The first window of a probe still holds requests that waited before it.
+            settings.baselineWindows + 1 -> best = minOf(best, mean)
+            settings.baselineWindows + 2 -> endProbe(mean)
+            else -> adapt(mean)
+        }
+        value = value.coerceIn(settings.minimumInFlight.toDouble(), settings.maximumInFlight.toDouble())
         used = false
         finished = 0
         totalNanos = 0.0
     }
+
+    private fun adapt(mean: Double) {
+        best = minOf(best, mean)
+        val gradient = (settings.tolerance * best / mean).coerceIn(0.5, 1.0)
+        value = if (gradient < 1) value * gradient else value + if (used) sqrt(value) else 0.0
+    }
+
+    private fun startProbe() {
+        beforeProbe = value
+        value /= 2
+    }
+
+    private fun endProbe(mean: Double) {
+        best = mean
+        value = beforeProbe
+        windows = 0
+    }
 }
--- a/src/main/kotlin/org/primrosesill/limit/CustomerOwner.kt
+++ b/src/main/kotlin/org/primrosesill/limit/CustomerOwner.kt
@@ -2,9 +2,10 @@
  * Grants leases for the customers that this router owns, or stands in for. There is no state besides what is kept here:
  * a router that becomes the owner starts with almost nothing, so that a change of owners cannot add a burst.
  *
- * How the sum stays within 5% over a minute: the owner issues the contract's rate, and holds at most the burst and a
- * quarter of a second more. A stand-in issues 3% of the rate and holds at most 1.5 seconds of it, which is 2.5% of a
- * minute. An owner with a partial view issues only its fraction of the zones.
+ * How the sum stays within 5% over a minute: the owner issues the contract's rate, and holds at most the burst and half
+ * a second more (0.8%). A stand-in issues 0.5% of the rate and holds at most 2 seconds of it (3.8% in all), so that both
+ * together stay below 5% in a minute in which both are asked. An owner with a partial view issues only its
+ * fraction of the zones.
  */
 package org.primrosesill.limit
 
@@ -81,6 +82,7 @@
     private val uses = HashMap<RouterId, RouterUse>()
     var lastRequestMillis = nowMillis
         private set
+    private var lastShortMillis = Long.MIN_VALUE / 2
 
     fun grant(request: LeaseRequest, view: OwnerView, nowMillis: Long): LeaseReply {
         lastRequestMillis = nowMillis
@@ -94,6 +96,8 @@
                     contract.requestsPerSecond * HELD_SECONDS
             }
         requests.refill(rate, capacity, nowMillis)
+        requests.level =
+            minOf(capacity, requests.level + request.unused.coerceIn(0, contract.requestsPerSecond.toInt()))
         val use = uses.getOrPut(request.router) { RouterUse() }
         use.report(request.inFlight, nowMillis)
         chargeTokens(request, view, nowMillis)
@@ -101,6 +105,7 @@
         if (reason != null) return LeaseReply(0, 0, retryMillis(reason, rate, contract), reason)
         val granted = share(request, use, rate, contract, view, nowMillis)
         if (granted == 0) {
+            if (request.wanted > 0) lastShortMillis = nowMillis
             return LeaseReply(0, 0, requests.millisUntilOne(rate), LimitReason.RATE)
         }
         requests.level -= granted
@@ -147,9 +152,12 @@
     ): Int {
         val active = uses.values.count { nowMillis - it.lastGrantMillis <= LEASE_MILLIS }.coerceAtLeast(1)
         val floorLevel = floor(minOf(active.toDouble(), rate * FAIR_SECONDS))
-        val aboveShare = use.recent(nowMillis) > rate / active
+        val contended = nowMillis - lastShortMillis <= LEASE_MILLIS
+        val aboveShare = contended && use.recent(nowMillis) > rate / active
         val available = requests.level - if (aboveShare) floorLevel else 0.0
-        return minOf(request.wanted, floor(available + ROUNDING).toInt(), free(view, nowMillis)).coerceAtLeast(0)
+        // One call gets at most half of what is there, so that starts in advance are scarce when the bucket is.
+        val most = maxOf(minOf(1, floor(available + ROUNDING).toInt()), floor(available / 2).toInt())
+        return minOf(request.wanted, most, free(view, nowMillis)).coerceAtLeast(0)
     }
 
     /** A grant counts as running until its router reports, but no longer than a request can last within the contract. */
@@ -162,9 +170,9 @@
 }
 
 /** Issued by a stand-in, as a part of the rate. */
-private const val STAND_IN_FRACTION = 0.03
-private const val RESERVE_SECONDS = 1.5
-private const val HELD_SECONDS = 0.25
+private const val STAND_IN_FRACTION = 0.005
+private const val RESERVE_SECONDS = 2.0
+private const val HELD_SECONDS = 0.5
 private const val FAIR_SECONDS = 0.1
 private const val CONCURRENCY_RETRY_MILLIS = 100L
 
@@ -177,11 +185,11 @@
 private fun reserve(view: OwnerView, ageMillis: Long): Double =
     (view.contract.requestsPerSecond * STAND_IN_FRACTION * ageMillis / 1_000).coerceIn(1.0, reserveLimit(view))
 
-/** Permissions that may be issued now. A level above the capacity is kept but does not grow. */
+/** Permissions that may be issued now. */
 private class StartBucket(var level: Double, private var refilledAtMillis: Long) {
     fun refill(rate: Double, capacity: Double, nowMillis: Long) {
         val added = rate * (nowMillis - refilledAtMillis).coerceAtLeast(0) / 1_000
-        level = maxOf(level, minOf(capacity, level + added))
+        level = minOf(capacity, level + added)
         refilledAtMillis = maxOf(refilledAtMillis, nowMillis)
     }
 
--- a/src/main/kotlin/org/primrosesill/limit/FleetCustomerLimiter.kt
+++ b/src/main/kotlin/org/primrosesill/limit/FleetCustomerLimiter.kt
@@ -75,10 +75,10 @@
                     ?.let { share.customer to it }
             }.toMap()
 
-    /** Reports generated tokens that no lease request has carried yet. Runs about once a second. */
-    public suspend fun reportTokens() {
+    /** Reports generated tokens and gives back unused starts that no request has carried yet. Runs about once a second. */
+    public suspend fun report() {
         for (share in shares.values) {
-            if (share.tokensUsed.get() > 0) share.calls.withLock { call(share, wanted = 0) }
+            if (share.hasReport(currentMillis())) share.calls.withLock { call(share, wanted = 0) }
         }
     }
 
@@ -99,13 +99,13 @@
         val startedMillis = currentMillis()
         val tokens = minOf(share.tokensUsed.get(), MAXIMUM_TOKENS)
         share.tokensUsed.addAndGet(-tokens)
-        val inFlight = share.inFlight.get()
-        val request = LeaseRequest(share.customer, router, wanted, inFlight, tokens.toInt())
+        val unused = share.takeUnused(startedMillis)
+        val request = LeaseRequest(share.customer, router, wanted, share.inFlight.get(), tokens.toInt(), unused)
         val skipped = startedMillis - share.ownerSilentAtMillis < SILENT_OWNER_MILLIS
         val fromOwner = if (skipped) null else within(OWNER_ANSWER_MILLIS) { client.lease(request, rank = 0) }
         if (fromOwner == null && !skipped) share.ownerSilentAtMillis = currentMillis()
         val left = LEASE_ANSWER_MILLIS - (currentMillis() - startedMillis)
-        val reply = fromOwner ?: within(left) { client.lease(request, rank = 1) }
+        val reply = fromOwner ?: within(left) { client.lease(request.copy(standIn = true), rank = 1) }
         if (reply == null) share.tokensUsed.addAndGet(tokens)
         // The owner counted the lease from before this instant, so its time is counted from the call and not the reply.
         return reply?.let { it.copy(expiresInMillis = it.expiresInMillis - (currentMillis() - startedMillis)) }
@@ -143,6 +143,14 @@
     private var startedThisSecond = 0
     private var startedLastSecond = 0
 
+    /** Says that there are tokens to report or starts to give back. */
+    @Synchronized
+    fun hasReport(nowMillis: Long): Boolean = tokensUsed.get() > 0 || (left > 0 && nowMillis >= validUntilMillis)
+
+    /** Takes what is left of an expired lease. It is lost when the call that gives it back fails. */
+    @Synchronized
+    fun takeUnused(nowMillis: Long): Int = if (nowMillis >= validUntilMillis) left.also { left = 0 } else 0
+
     /** Takes a start from the lease, repeats a refusal that still holds, or returns null when the owner must be asked. */
     @Synchronized
     fun take(nowMillis: Long): Start? {
@@ -152,7 +160,6 @@
             startedThisSecond++
             return Start.Granted
         }
-        left = 0
         if (nowMillis >= refusedUntilMillis) return null
         return Start.Refused(
             Failure.LimitExceeded(customer, refusedReason, (refusedUntilMillis - nowMillis).milliseconds),
--- a/src/main/kotlin/org/primrosesill/limit/LeaseClient.kt
+++ b/src/main/kotlin/org/primrosesill/limit/LeaseClient.kt
@@ -10,6 +10,12 @@
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.RouterId
 
+/**
+ * Silence of a router after which it counts as lost for [ownerOrder], in milliseconds. It is shorter than the suspicion
+ * of the member table, because a wrong guess costs at most the reserve of a stand-in and a late one refuses requests.
+ */
+public const val OWNER_UNHEARD_MILLIS: Long = 2_500
+
 /** Sends lease requests. The router itself can be the owner, in which case nothing is sent. */
 public fun interface LeaseClient {
     /**
