--- a/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
@@ -9,7 +9,12 @@
 import org.primrosesill.model.RouterId
 
 /** One router incarnation in a [MemberSnapshot]. */
-internal data class HeldMember(val member: Member, val lostAtMillis: Long?, val replaced: Boolean) {
+internal data class HeldMember(
+    val member: Member,
+    val heardAtMillis: Long,
+    val lostAtMillis: Long?,
+    val replaced: Boolean,
+) {
     fun countsAt(earliestMillis: Long, listed: Set<String>): Boolean =
         lostAtMillis == null || lostAtMillis >= earliestMillis || (!replaced && member.address in listed)
 }
@@ -29,6 +34,12 @@
     public val live: List<Member>,
     public val knowsCandidates: Boolean,
 ) {
+    private val heardAt = held.associate { it.member.router to it.heardAtMillis }
+
+    /** When the heartbeat of [router] last grew, in milliseconds. The own router is always heard. */
+    public fun heardAtMillis(router: RouterId): Long =
+        if (router == self.router) Long.MAX_VALUE else heardAt[router] ?: Long.MIN_VALUE
+
     /**
      * All router incarnations that may have been alive at [instantMillis] or later, in order of their ids. A listed
      * address from which no router was heard stands in the result as one router with an id made from the address.
--- a/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
@@ -119,7 +119,7 @@
     public fun snapshot(): MemberSnapshot =
         MemberSnapshot(
             self = self,
-            held = entries.values.map { HeldMember(it.member, it.lostAtMillis, it.replaced) },
+            held = entries.values.map { HeldMember(it.member, it.heardAtMillis, it.lostAtMillis, it.replaced) },
             listedAddresses = listedAddresses(),
             clockToleranceMillis = settings.clockToleranceMillis,
             live = live(),
--- a/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
@@ -17,6 +17,8 @@
 import org.primrosesill.limit.FleetCustomerLimiter
 import org.primrosesill.limit.LEASE_MILLIS
 import org.primrosesill.limit.LeaseClient
+import org.primrosesill.limit.LeaseService
+import org.primrosesill.limit.OWNER_UNHEARD_MILLIS
 import org.primrosesill.limit.OwnerView
 import org.primrosesill.limit.ownerOrder
 import org.primrosesill.limit.visibleZoneFraction
@@ -36,36 +38,48 @@
     val admission = priorityAdmissionControl(AdmissionSettings(maximumInFlight = settings.maximumConcurrentRequests))
     val retryBudget = tokenRetryBudget()
     val limiter = FleetCustomerLimiter(own, LeaseClient(::askOwner), monotonicMillis())
+    private val service = LeaseService(own, ::firstOwner, ::grantHere, ::forward)
 
     fun inFlight(): Map<CustomerId, Int> = limiter.inFlight()
 
     /** Reports generated tokens to the owners and drops idle customers. Runs once a second. */
     suspend fun report() {
-        limiter.reportTokens()
+        limiter.report()
         limiter.dropIdle()
     }
 
     /** Answers a lease request of a peer, or of this router itself. */
-    suspend fun grant(request: LeaseRequest): LeaseReply {
+    suspend fun grant(request: LeaseRequest): LeaseReply = service.answer(request)
+
+    private suspend fun grantHere(request: LeaseRequest, standsIn: Boolean): LeaseReply {
         val configuration = views.configuration.get()
         val contract = configuration.contracts[request.customer] ?: return NO_CONTRACT
-        val members = views.members.get()
-        val standsIn = owners(request.customer, members).firstOrNull() != own
-        val view = OwnerView(contract, standsIn, zoneFraction(configuration, members))
+        val view = OwnerView(contract, standsIn, zoneFraction(configuration, views.members.get()))
         return control.run { owner.grant(request, view, currentMillis()) }
     }
 
-    private suspend fun askOwner(request: LeaseRequest, rank: Int): LeaseReply? {
-        val members = views.members.get()
-        val router = owners(request.customer, members).getOrNull(rank) ?: return null
-        if (router == own) return grant(request)
-        val address = members.live.first { it.router == router }.address
-        return peers.lease(address, request).getOrNull()
-    }
+    private suspend fun askOwner(request: LeaseRequest, rank: Int): LeaseReply? =
+        owners(request.customer).getOrNull(rank)?.let { router ->
+            if (router == own) grant(request) else forward(router, request)
+        }
 
-    /** A router that is stopping hands its customers over at once. */
-    private fun owners(customer: CustomerId, members: MemberSnapshot): List<RouterId> {
-        val staying = members.live.filter { it.state == MemberState.LIVE }.map { it.router }
+    private suspend fun forward(router: RouterId, request: LeaseRequest): LeaseReply? =
+        views.members
+            .get()
+            .live
+            .firstOrNull { it.router == router }
+            ?.let { peers.lease(it.address, request).getOrNull() }
+
+    private fun firstOwner(customer: CustomerId): RouterId? = owners(customer).firstOrNull()
+
+    /** A router that is stopping hands its customers over at once, and a silent one is passed over early. */
+    private fun owners(customer: CustomerId): List<RouterId> {
+        val heardSince = currentMillis() - OWNER_UNHEARD_MILLIS
+        val members = views.members.get()
+        val staying =
+            members.live
+                .filter { it.state == MemberState.LIVE && members.heardAtMillis(it.router) >= heardSince }
+                .map { it.router }
         return ownerOrder(customer, staying.ifEmpty { listOf(own) })
     }
 
