--- a/src/main/kotlin/org/primrosesill/claim/Ballot.kt
+++ b/src/main/kotlin/org/primrosesill/claim/Ballot.kt
@@ -30,6 +30,8 @@
     // Another router's note that it never heard from an address adds nobody when the claimant knows the router there.
     private val unheardIds = electors.map { RouterId("$UNHEARD_PREFIX${it.address}") }.toSet()
     private val asked = electors.toMutableList()
+    private val results = Channel<Pair<Member, ClaimReply?>>(Channel.UNLIMITED)
+    private var outstanding = 0
 
     /** Replies that name another holder. */
     val held: List<ClaimReply> get() = replies.values.filter { it.vote == ClaimVote.HELD }
@@ -50,24 +52,28 @@
         firstReply?.let { count(first, it) }
         if (firstReply?.vote == ClaimVote.HELD) return false
         val remaining = if (firstReply == null) order else order.drop(1)
-        ask(remaining) { outstanding -> won() || granted + outstanding < needed }
+        ask(remaining)
+        // An address from which nothing was heard may still turn out to be a known router, so it counts once here.
+        receive { won() || granted + outstanding < votesNeeded(electors.size) }
         return won()
     }
 
     /**
      * Asks the routers of [fleet] that are not yet asked, and returns whether every one of them and of the electors
-     * says that the resource is free. This replaces the quorum for a slot while the voters are too young to vote.
+     * says that the resource is free, save those that [ended]. This replaces the quorum for a slot while the voters are
+     * too young to vote.
      */
-    suspend fun collectUnanimity(fleet: List<Member>): Boolean {
+    suspend fun collectUnanimity(fleet: List<Member>, ended: Set<RouterId>): Boolean {
         val others = fleet.filter { member -> asked.none { it.router == member.router } }
         asked += others
-        ask(others) { false }
+        ask(others)
+        receive { false }
         val recorded =
             replies.values
                 .filter { it.vote != ClaimVote.HELD && it.holder == request.claimant }
                 .map { it.voter }
                 .toSet()
-        return recorded.size == replies.size && recorded.containsAll(known() + fleet.map { it.router })
+        return recorded.size == replies.size && recorded.containsAll(known() + fleet.map { it.router } - ended)
     }
 
     /** Releases the attempt at every router that was asked. The caller has given the claim up before. */
@@ -75,16 +81,18 @@
 
     private fun won(): Boolean = granted >= needed
 
-    private suspend fun ask(voters: List<Member>, decided: (outstanding: Int) -> Boolean) {
-        val results = Channel<Pair<Member, ClaimReply?>>(Channel.UNLIMITED)
+    private fun ask(voters: List<Member>) {
+        outstanding += voters.size
         // The calls outlive the decision, because a vote that is recorded late still tells repeats who holds the key.
         voters.forEach { voter -> scope.launch { results.send(voter to peers.claim(voter, request)) } }
+    }
+
+    private suspend fun receive(decided: () -> Boolean) {
         withTimeoutOrNull(settings.voteTimeoutMillis) {
-            var outstanding = voters.size
-            while (outstanding > 0 && !decided(outstanding)) {
+            while (outstanding > 0 && !decided()) {
                 val (voter, reply) = results.receive()
-                if (reply != null) count(voter, reply)
                 outstanding--
+                if (reply != null) count(voter, reply)
             }
         }
     }
--- a/src/main/kotlin/org/primrosesill/claim/Electorate.kt
+++ b/src/main/kotlin/org/primrosesill/claim/Electorate.kt
@@ -37,10 +37,13 @@
                 }
         }
 
-    /** All routers that may hold a slot. */
+    /** All routers that may have held a slot since the longest time a slot is held. */
     fun fleet(nowMillis: Long): List<Member>? =
         known.aliveAt(nowMillis - settings.longestSlotMillis - settings.startMarginMillis)
 
+    /** All routers that may hold a slot at present. A router that surely ended holds none: its connections are closed. */
+    fun fleetAtPresent(nowMillis: Long): List<Member>? = known.aliveAt(nowMillis)
+
     private fun slot(resource: ClaimResource, nowMillis: Long): List<Member>? {
         val fleet = fleet(nowMillis) ?: return null
         val zone = slotZone(resource)
--- a/src/main/kotlin/org/primrosesill/claim/QuorumSlotClaims.kt
+++ b/src/main/kotlin/org/primrosesill/claim/QuorumSlotClaims.kt
@@ -56,17 +56,23 @@
     private suspend fun claimSlot(request: ClaimRequest): SlotClaim? {
         val now = context.currentMillis()
         val voters = electorate.of(request.resource, ClaimKind.SLOT, now, now) ?: return null
-        val fleet = electorate.fleet(now) ?: return null
         // The holder's own record tells young voters, which may have forgotten the slot, that it is in use.
         val own = context.peers.claim(context.self(), request)
         if (own == null || own.vote == ClaimVote.HELD) return null
         val ballot = Ballot(request, voters, context.peers, context.settings, context.scope)
-        val granted = ballot.collect() || (ballot.held.isEmpty() && ballot.collectUnanimity(fleet))
+        val granted = ballot.collect() || (ballot.held.isEmpty() && isFreeEverywhere(ballot))
         if (granted && context.currentMillis() < request.heldUntilMillis) return HeldSlot(ballot, request)
         releaseAll(ballot, request)
         return null
     }
 
+    private suspend fun isFreeEverywhere(ballot: Ballot): Boolean {
+        val now = context.currentMillis()
+        val past = electorate.fleet(now) ?: return false
+        val present = electorate.fleetAtPresent(now) ?: return false
+        return ballot.collectUnanimity(present, ended = (past - present.toSet()).map { it.router }.toSet())
+    }
+
     private fun releaseAll(ballot: Ballot, request: ClaimRequest) {
         ballot.release()
         launchReleases(listOf(context.self()), context.peers, context.scope, request)
--- a/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
@@ -39,7 +39,7 @@
 /**
  * The routers that [self] knows. Not safe for use from several threads.
  *
- * @param settingsPeers peer addresses from the settings of the router; they stay listed for ever
+ * @param settingsPeers peer addresses from the settings of the router; they count as listed until a VM list is read
  * @param expectsVmList whether a platform is configured, so that an unread VM list means that routers may be unknown
  */
 public class MemberTable(
@@ -76,7 +76,8 @@
      */
     public fun silentAddresses(): Set<String> {
         val (lost, live) = entries.values.filter { !it.replaced }.partition { it.lostAtMillis != null }
-        return listedAddresses() + lost.map { it.member.address } - live.map { it.member.address }.toSet() -
+        return settingsPeers + listedAddresses() + lost.map { it.member.address } -
+            live.map { it.member.address }.toSet() -
             self.address
     }
 
@@ -116,7 +117,7 @@
      *
      * A silent router may be cut off rather than ended. It stops to count only when a newer incarnation has its
      * address, or when it left or vanished from the VM list before the instant. The list alone is not believed when it
-     * drops more than a quarter of the routers, because both sides of a partition could then count only themselves.
+     * drops more than a third of the routers, because both sides of a partition could then count only themselves.
      */
     public fun mayHaveBeenAliveAt(instantMillis: Long): List<Member> {
         val listed = listedAddresses()
@@ -125,7 +126,7 @@
         val unproven = ended.filter { !it.replaced && it.member.state == MemberState.LIVE }
         val unheard = listed - entries.values.map { it.member.address }.toSet() - self.address
         val certain = counted.map { it.member } + self + unheard.map(::unheardMember)
-        val doubted = if (unproven.size * 4 > certain.size) unproven.map { it.member } else emptyList()
+        val doubted = if (unproven.size * 2 > certain.size) unproven.map { it.member } else emptyList()
         return (certain + doubted).sortedBy { it.router.value }
     }
 
@@ -133,7 +134,8 @@
     public fun knowsCandidates(): Boolean =
         !expectsVmList || settingsPeers.isNotEmpty() || vmListAddresses != null || entries.isNotEmpty()
 
-    private fun listedAddresses(): Set<String> = settingsPeers + vmListAddresses.orEmpty()
+    /** Settings name peers to start from; once a VM list is known it is the better source. */
+    private fun listedAddresses(): Set<String> = vmListAddresses ?: settingsPeers
 
     private fun add(member: Member, nowMillis: Long): List<MemberChange> {
         val sameAddress = entries.values.filter { it.member.address == member.address && !it.replaced }
@@ -180,7 +182,7 @@
     private fun forget(nowMillis: Long) {
         val unproven = entries.values.count { it.lostAtMillis != null && !it.replaced }
         // While a large part of the fleet is silent, it is more likely cut off than ended, and stays remembered.
-        val keepUnproven = unproven * 4 > entries.size - unproven
+        val keepUnproven = unproven * 2 > entries.size - unproven
         entries.values.removeIf { entry ->
             val lostAt = entry.lostAtMillis ?: return@removeIf false
             val limit = if (keepUnproven && !entry.replaced) UNPROVEN_RETENTION_MILLIS else settings.retentionMillis
