--- a/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
@@ -46,7 +46,7 @@
      *
      * A silent router may be cut off rather than ended. It stops to count only when a newer incarnation has its
      * address, or when it left or vanished from the VM list before the instant. The list alone is not believed when it
-     * drops more than a quarter of the routers, because both sides of a partition could then count only themselves.
+     * drops more than a third of the routers, because both sides of a partition could then count only themselves.
      */
     public fun mayHaveBeenAliveAt(instantMillis: Long): List<Member> {
         val earliest = instantMillis - clockToleranceMillis
@@ -54,7 +54,7 @@
         val unproven = ended.filter { !it.replaced && it.member.state == MemberState.LIVE }
         val unheard = listedAddresses - held.map { it.member.address }.toSet() - self.address
         val certain = counted.map { it.member } + self + unheard.map(::unheardMember)
-        val doubted = if (unproven.size * 4 > certain.size) unproven.map { it.member } else emptyList()
+        val doubted = if (unproven.size * 2 > certain.size) unproven.map { it.member } else emptyList()
         return (certain + doubted).sortedBy { it.router.value }
     }
 }
--- a/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
@@ -38,7 +38,7 @@
 /**
  * The routers that [self] knows. Not safe for use from several threads.
  *
- * @param settingsPeers peer addresses from the settings of the router; they stay listed for ever
+ * @param settingsPeers peer addresses from the settings of the router; they count as listed until a VM list is read
  * @param expectsVmList whether a platform is configured, so that an unread VM list means that routers may be unknown
  */
 public class MemberTable(
@@ -75,7 +75,8 @@
      */
     public fun silentAddresses(): Set<String> {
         val (lost, live) = entries.values.filter { !it.replaced }.partition { it.lostAtMillis != null }
-        return listedAddresses() + lost.map { it.member.address } - live.map { it.member.address }.toSet() -
+        return settingsPeers + listedAddresses() + lost.map { it.member.address } -
+            live.map { it.member.address }.toSet() -
             self.address
     }
 
@@ -130,7 +131,8 @@
     public fun knowsCandidates(): Boolean =
         !expectsVmList || settingsPeers.isNotEmpty() || vmListAddresses != null || entries.isNotEmpty()
 
-    private fun listedAddresses(): Set<String> = settingsPeers + vmListAddresses.orEmpty()
+    /** Settings name peers to start from; once a VM list is known it is the better source. */
+    private fun listedAddresses(): Set<String> = vmListAddresses ?: settingsPeers
 
     private fun add(member: Member, nowMillis: Long): List<MemberChange> {
         val sameAddress = entries.values.filter { it.member.address == member.address && !it.replaced }
@@ -177,7 +179,7 @@
     private fun forget(nowMillis: Long) {
         val unproven = entries.values.count { it.lostAtMillis != null && !it.replaced }
         // While a large part of the fleet is silent, it is more likely cut off than ended, and stays remembered.
-        val keepUnproven = unproven * 4 > entries.size - unproven
+        val keepUnproven = unproven * 2 > entries.size - unproven
         entries.values.removeIf { entry ->
             val lostAt = entry.lostAtMillis ?: return@removeIf false
             val limit = if (keepUnproven && !entry.replaced) UNPROVEN_RETENTION_MILLIS else settings.retentionMillis
