--- a/src/main/kotlin/org/primrosesill/routing/CandidateSet.kt
+++ b/src/main/kotlin/org/primrosesill/routing/CandidateSet.kt
@@ -10,6 +10,13 @@
 /** The total is counted again after this part of it. */
 private const val RECOUNT_PART = 64
 
+/** A report over this multiple of the counts, and over them by this margin, shows that counts are missing. */
+private const val INCOMPLETE_FACTOR = 2
+private const val INCOMPLETE_MARGIN = 4
+
+/** Pools up to this size are counted in each decision. */
+private const val SMALL_POOL = 64
+
 internal class CandidateSet(pool: PoolView, countersOf: (UpstreamView) -> UpstreamCounters) {
     private val eligible = pool.upstreams.filter { it.blockedBecause == null && it.state != UpstreamState.LEAVING }
     private val blocked = pool.upstreams.size - eligible.size
@@ -29,31 +36,41 @@
     private var counted: Count? = null
 
     /** Requests at a candidate: what it reported, or what routers count when that is more. */
-    fun load(index: Int): Int = maxOf(reported[index], others[index] + counters[index].inFlight.get())
+    fun load(index: Int): Int = maxOf(reported[index], inFlight(index))
+
+    /**
+     * Requests at a candidate for sums and comparisons, without the upward error of the larger of two noisy values: the
+     * counts of routers, unless the report is so much higher that the counts of some routers must be missing.
+     */
+    fun typicalLoad(index: Int): Int {
+        val inFlight = inFlight(index)
+        return if (reported[index] > INCOMPLETE_FACTOR * inFlight + INCOMPLETE_MARGIN) reported[index] else inFlight
+    }
+
+    private fun inFlight(index: Int): Int = others[index] + counters[index].inFlight.get()
 
     /**
-     * The most requests that a warm candidate may carry. Reading all loads takes longer than the rest of a decision, so
-     * that the total is counted again only after a small part of it has started here.
+     * The most requests that a warm candidate may carry. In a large pool, reading all loads takes longer than the rest
+     * of a decision, so that the total is counted again only after a small part of it has started here.
      */
     fun bound(nowMillis: Long): Double {
         val held = counted
         val startedHere = started.incrementAndGet()
-        if (held != null && startedHere - held.startedBefore <= held.total / RECOUNT_PART) {
+        if (held != null && startedHere - held.startedBefore <= held.total / RECOUNT_PART && size > SMALL_POOL) {
             return loadBound(held.total + startedHere - held.startedBefore, held.shares, loadMultiple)
         }
-        return count(
-            startedHere,
-            nowMillis,
-        ).also { counted = it }.let { loadBound(it.total + 1, it.shares, loadMultiple) }
+        val fresh = count(startedHere, nowMillis)
+        counted = fresh
+        return loadBound(fresh.total + 1, fresh.shares, loadMultiple)
     }
 
-    /** Upstreams that have just become warm count as the part that they may carry. */
+    /** Counts the warm candidates; those that have just become warm as the part that they may carry. */
     private fun count(startedBefore: Int, nowMillis: Long): Count {
         var total = 0
         var shares = 0.0
         for (index in 0 until size) {
             if (isCold(index, nowMillis)) continue
-            total += load(index)
+            total += typicalLoad(index)
             shares += rampShares[index]
         }
         return Count(total, maxOf(1.0, shares), startedBefore)
--- a/src/main/kotlin/org/primrosesill/routing/RoutingDecision.kt
+++ b/src/main/kotlin/org/primrosesill/routing/RoutingDecision.kt
@@ -76,7 +76,8 @@
             if (candidates.isCold(index, nowMillis) || !isOpen(index)) continue
             // Upstreams of equal load are told apart by the key, so that routers do not all choose the same one.
             val load =
-                candidates.load(index) + (scoreOf(key, candidates.hashes[index]) and FRACTION_MASK) * FRACTION_UNIT
+                candidates.typicalLoad(index) +
+                    (scoreOf(key, candidates.hashes[index]) and FRACTION_MASK) * FRACTION_UNIT
             if (load < bestLoad) {
                 best = index
                 bestLoad = load
