--- a/src/main/kotlin/org/primrosesill/limit/CustomerOwner.kt
+++ b/src/main/kotlin/org/primrosesill/limit/CustomerOwner.kt
@@ -150,8 +150,9 @@
         view: OwnerView,
         nowMillis: Long,
     ): Int {
-        val active = uses.values.count { nowMillis - it.lastGrantMillis <= LEASE_MILLIS }.coerceAtLeast(1)
-        val floorLevel = floor(minOf(active.toDouble(), rate * FAIR_SECONDS))
+        // A router that has not asked yet counts as well, else a single busy one would take what a quiet one needs.
+        val active = 1 + uses.values.count { nowMillis - it.lastGrantMillis <= LEASE_MILLIS }
+        val floorLevel = floor(minOf(active.toDouble(), contract.requestsPerSecond * FAIR_SECONDS))
         val contended = nowMillis - lastShortMillis <= LEASE_MILLIS
         val aboveShare = contended && use.recent(nowMillis) > rate / active
         val available = requests.level - if (aboveShare) floorLevel else 0.0
@@ -173,7 +174,7 @@
 private const val STAND_IN_FRACTION = 0.005
 private const val RESERVE_SECONDS = 2.0
 private const val HELD_SECONDS = 0.5
-private const val FAIR_SECONDS = 0.1
+private const val FAIR_SECONDS = 0.25
 private const val CONCURRENCY_RETRY_MILLIS = 100L
 
 /** Sums of fractions of one request fall short of whole numbers by rounding. */
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/http/PlatformClientTest.kt
@@ -0,0 +1,97 @@
+/*
+ * The platform client. Guards against a platform that answers nonsense, too much, too late or not at all and thereby
+ * stops a router, fills its memory or makes it call in a tight loop.
+ */
+package org.primrosesill.http
+
+import arrow.core.Either
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import java.net.ServerSocket
+import kotlin.random.Random
+import kotlin.reflect.KClass
+
+class PlatformClientTest {
+    private fun <T> withPlatform(answer: suspend (ApplicationCall) -> Unit, use: suspend (PlatformClient) -> T): T {
+        val server =
+            embeddedServer(CIO, port = 0, host = "127.0.0.1") { routing { get("/v1/configuration") { answer(call) } } }
+        server.start()
+        return try {
+            runBlocking {
+                val port =
+                    server.engine
+                        .resolvedConnectors()
+                        .first()
+                        .port
+                PlatformClient(PlatformClientSettings("127.0.0.1:$port", answerMillis = 500)).use { use(it) }
+            }
+        } finally {
+            server.stop(0, 0)
+        }
+    }
+
+    private fun kindOf(result: Either<PlatformError, Any>): KClass<*>? = result.leftOrNull()?.let { it::class }
+
+    @TestFactory
+    fun `a platform gives a page or a typed error when it`() =
+        listOf<Triple<String, suspend (ApplicationCall) -> Unit, KClass<*>?>>(
+            Triple("answers a page", { it.respondText("""{"revision":3,"entries":[]}""") }, null),
+            Triple("answers text that is not JSON", { it.respondText("<html>") }, PlatformError.Malformed::class),
+            Triple("answers another message", { it.respondText("""{"vms":[]}""") }, PlatformError.Malformed::class),
+            Triple("answers more than its values can hold", {
+                it.respondText(" ".repeat(1_300_000))
+            }, PlatformError.TooLarge::class),
+            Triple("fails", {
+                it.respondText("", status = HttpStatusCode.InternalServerError)
+            }, PlatformError.UnexpectedStatus::class),
+            Triple("answers too late", { delay(5_000) }, PlatformError.Unreachable::class),
+        ).map { (name, answer, expected) ->
+            dynamicTest(name) { expectThat(withPlatform(answer) { kindOf(it.configuration(0)) }).isEqualTo(expected) }
+        }
+
+    @Test
+    fun `a platform that is down is an error and not an exception`() {
+        val port = ServerSocket(0).use { it.localPort }
+        val client = PlatformClient(PlatformClientSettings("127.0.0.1:$port"))
+        expectThat(
+            client.use { runBlocking { kindOf(it.configuration(0)) } },
+        ).isEqualTo(PlatformError.Unreachable::class)
+    }
+
+    @Test
+    fun `a watch that is answered at once without news is not repeated in a tight loop`() {
+        var calls = 0
+        withPlatform({
+            calls++
+            it.respondText("""{"revision":0,"entries":[]}""")
+        }) { client ->
+            withTimeoutOrNull(2_000) { client.watchConfiguration({ 0 }) { _, _ -> } }
+        }
+        // Waits of at least 100, 200, 400 and 800 ms leave room for five calls.
+        expectThat(calls).isLessThanOrEqualTo(6)
+    }
+
+    @Test
+    fun `waits after failures double, vary and stay below their bound`() {
+        val backoff = Backoff(200, 5_000, Random(20_261_204))
+        val waits = List(30) { backoff.nextMillis() }
+        expectThat(waits.first()).isLessThanOrEqualTo(200)
+        expectThat(waits.max()).isLessThanOrEqualTo(5_000)
+        expectThat(waits.takeLast(20).count { it >= 2_500 }).isEqualTo(20)
+        expectThat(waits.takeLast(20).toSet().size > 10).isEqualTo(true)
+    }
+}
--- a/src/test/kotlin/org/primrosesill/limit/FleetLimitsTest.kt
+++ b/src/test/kotlin/org/primrosesill/limit/FleetLimitsTest.kt
@@ -78,13 +78,13 @@
                 val over = run(case, routers, SURGE)
                 val within = run(case, routers, if (case.servedLoad > 0) case.servedLoad else WITHIN)
                 val served = over.second.started.size / (0L until 90).sumOf { case.rateAt(it * 1_000) }
+                val fixedShare = over.second.worstMinuteOver(over.first, over.second.baselineStarted)
                 println(
                     "limits seed=$SEED case='${case.name}' routers=$routers " +
-                        "over=%.1f%% served=%.1f%% ".format(
-                            over.second.worstMinuteOver(over.first) * 100,
-                            served * 100,
-                        ) +
-                        "within-refused=${within.second.refused} of ${within.second.offered} calls=${within.second.calls}",
+                        "over=%.1f%% served=%.1f%% ".format(over.second.worstMinuteOver(over.first) * 100, served * 100) +
+                        "refused=${within.second.refused} of ${within.second.offered} calls=${within.second.calls} " +
+                        "fixed-share-over=%.1f%% ".format(fixedShare * 100) +
+                        "fixed-share-refused=${within.second.offered - within.second.baselineStarted.size}",
                 )
                 expectThat(over.second.worstMinuteOver(over.first)).isLessThanOrEqualTo(0.05)
                 if (case.servedLoad > 0) {
--- a/src/test/kotlin/org/primrosesill/limit/LimitFleet.kt
+++ b/src/test/kotlin/org/primrosesill/limit/LimitFleet.kt
@@ -23,6 +23,7 @@
 
 internal const val SEED = 20_261_204L
 private const val LONG_AGO = -600_000L
+private const val MAXIMUM_NODES = 340
 
 internal class Scenario(
     val name: String,
@@ -41,9 +42,10 @@
     var offered = 0
     var calls = 0
     var mostRunning = 0
+    val baselineStarted = ArrayList<Long>()
 
     /** The highest ratio of started requests to what the contract allows over any minute, in requests over the limit. */
-    fun worstMinuteOver(scenario: Scenario): Double =
+    fun worstMinuteOver(scenario: Scenario, started: List<Long> = this.started): Double =
         (0..maxOf(0, scenario.seconds - 60)).maxOf { from ->
             val count = started.count { it >= from * 1_000L && it < (from + 60) * 1_000L }
             val allowed = (from until from + 60).sumOf { scenario.contractAt(it * 1_000L).requestsPerSecond }
@@ -51,15 +53,23 @@
         }
 }
 
-internal class LimitNode(val index: Int, val zone: AvailabilityZoneId, val startedAt: Long, fleet: LimitFleet) {
+internal class LimitNode(
+    val index: Int,
+    val position: Int,
+    val zone: AvailabilityZoneId,
+    val startedAt: Long,
+    fleet: LimitFleet,
+) {
     val id = RouterId("router-$index-$startedAt")
     val owner = CustomerOwner(startedAt)
     val limiter = FleetCustomerLimiter(id, fleet.transport(this)) { fleet.now }
-    val heard = HashMap<LimitNode, Long>()
+    val heard = LongArray(MAXIMUM_NODES) { LONG_AGO }
     var order = emptyList<LimitNode>()
     var zoneFraction = 1.0
     var alive = true
     var paused = false
+    var share = 1.0
+    var shareFilledAt = 0L
     val working get() = alive && !paused
 }
 
@@ -74,7 +84,7 @@
     private var running = 0
 
     init {
-        repeat(scenario.routers) { nodes += LimitNode(it, AvailabilityZoneId("zone-${it % 3}"), LONG_AGO, this) }
+        repeat(scenario.routers) { nodes += LimitNode(it, it, AvailabilityZoneId("zone-${it % 3}"), LONG_AGO, this) }
         nodes.forEach { node -> (LONG_AGO..0 step 1_000).forEach { node.owner.tick(it) } }
         repeat(2) { exchange() }
     }
@@ -86,26 +96,25 @@
         }
 
     fun join(index: Int) {
-        nodes += LimitNode(index, AvailabilityZoneId("zone-${index % 3}"), now, this)
+        nodes += LimitNode(index, nodes.size, AvailabilityZoneId("zone-${index % 3}"), now, this)
     }
 
     fun exchange() {
         val working = nodes.filter { it.working }
-        val inFlight = working.associateWith { it.limiter.inFlight() }
+        val inFlight = nodes.map { if (it.working) it.limiter.inFlight() else emptyMap() }
         val byId = nodes.associateBy { it.id }
         val weights = ownerOrder(customer, byId.keys, nodes.size).map { byId.getValue(it) }
         val zones = nodes.mapTo(HashSet()) { it.zone }
         for (receiver in working) {
-            receiver.heard[receiver] = now
+            receiver.heard[receiver.position] = now
             for (sender in working) {
                 if (sender === receiver || !linked(sender, receiver) || !hears(sender, receiver)) continue
                 if (random.nextInt(100) < LOSS_PERCENT) continue
-                receiver.heard[sender] = now
-                receiver.owner.observe(sender.id, inFlight.getValue(sender), now)
+                receiver.heard[sender.position] = now
+                receiver.owner.observe(sender.id, inFlight[sender.position], now)
             }
-            receiver.heard.values.removeIf { now - it > OWNER_UNHEARD_MILLIS }
-            val seen = receiver.heard.keys
-            receiver.order = weights.filter { it in seen }.take(2)
+            val seen = weights.filter { now - receiver.heard[it.position] <= OWNER_UNHEARD_MILLIS }
+            receiver.order = seen.take(2)
             receiver.zoneFraction = visibleZoneFraction(zones, seen.mapTo(HashSet()) { it.zone })
             receiver.owner.tick(now)
         }
@@ -154,8 +163,18 @@
         }
     }
 
+    /** The baseline: each router holds an equal part of the rate for itself, and one request at least. */
+    private fun fixedShare(node: LimitNode): Boolean {
+        val rate = scenario.contractAt(now).requestsPerSecond / scenario.routers
+        val added = rate * (now - node.shareFilledAt) / 1_000
+        node.share = minOf(maxOf(1.0, rate / 2), node.share + added)
+        node.shareFilledAt = now
+        return (node.share >= 1).also { if (it) node.share-- }
+    }
+
     private suspend fun request(node: LimitNode) {
         outcome.offered++
+        if (fixedShare(node)) outcome.baselineStarted += now
         val permit =
             when (val result = node.limiter.acquire(scenario.contractAt(now))) {
                 is Either.Left -> {
