--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
@@ -0,0 +1,102 @@
+/*
+ * Limits of customers and load control of one router, and how leases reach the owners.
+ */
+package org.primrosesill.router
+
+import org.primrosesill.admission.AdmissionSettings
+import org.primrosesill.admission.priorityAdmissionControl
+import org.primrosesill.admission.tokenRetryBudget
+import org.primrosesill.configuration.ConfigurationSnapshot
+import org.primrosesill.generated.LeaseReply
+import org.primrosesill.generated.LeaseRequest
+import org.primrosesill.generated.LimitReason
+import org.primrosesill.generated.MemberState
+import org.primrosesill.generated.RouterSettings
+import org.primrosesill.http.PeerClient
+import org.primrosesill.limit.CustomerOwner
+import org.primrosesill.limit.FleetCustomerLimiter
+import org.primrosesill.limit.LEASE_MILLIS
+import org.primrosesill.limit.LeaseClient
+import org.primrosesill.limit.LeaseService
+import org.primrosesill.limit.OWNER_UNHEARD_MILLIS
+import org.primrosesill.limit.OwnerView
+import org.primrosesill.limit.ownerOrder
+import org.primrosesill.limit.visibleZoneFraction
+import org.primrosesill.membership.MemberSnapshot
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.RouterId
+
+internal class RouterLimits(
+    settings: RouterSettings,
+    private val own: RouterId,
+    private val views: PublishedViews,
+    private val control: ControlThread,
+    private val owner: CustomerOwner,
+    private val peers: PeerClient,
+    private val currentMillis: () -> Long,
+) {
+    val admission = priorityAdmissionControl(AdmissionSettings(maximumInFlight = settings.maximumConcurrentRequests))
+    val retryBudget = tokenRetryBudget()
+    val limiter = FleetCustomerLimiter(own, LeaseClient(::askOwner), monotonicMillis())
+    private val service = LeaseService(own, ::firstOwner, ::grantHere, ::forward)
+
+    fun inFlight(): Map<CustomerId, Int> = limiter.inFlight()
+
+    /** Reports generated tokens to the owners and drops idle customers. Runs once a second. */
+    suspend fun report() {
+        limiter.report()
+        limiter.dropIdle()
+    }
+
+    /** Answers a lease request of a peer, or of this router itself. */
+    suspend fun grant(request: LeaseRequest): LeaseReply = service.answer(request)
+
+    private suspend fun grantHere(request: LeaseRequest, standsIn: Boolean): LeaseReply {
+        val configuration = views.configuration.get()
+        val contract = configuration.contracts[request.customer] ?: return NO_CONTRACT
+        val view = OwnerView(contract, standsIn, zoneFraction(configuration, views.members.get()))
+        return control.run { owner.grant(request, view, currentMillis()) }
+    }
+
+    private suspend fun askOwner(request: LeaseRequest, rank: Int): LeaseReply? =
+        owners(request.customer).getOrNull(rank)?.let { router ->
+            if (router == own) grant(request) else forward(router, request)
+        }
+
+    private suspend fun forward(router: RouterId, request: LeaseRequest): LeaseReply? =
+        views.members
+            .get()
+            .live
+            .firstOrNull { it.router == router }
+            ?.let { peers.lease(it.address, request).getOrNull() }
+
+    private fun firstOwner(customer: CustomerId): RouterId? = owners(customer).firstOrNull()
+
+    /** A router that is stopping hands its customers over at once, and a silent one is passed over early. */
+    private fun owners(customer: CustomerId): List<RouterId> {
+        val heardSince = currentMillis() - OWNER_UNHEARD_MILLIS
+        val members = views.members.get()
+        val staying =
+            members.live
+                .filter { it.state == MemberState.LIVE && members.heardAtMillis(it.router) >= heardSince }
+                .map { it.router }
+        return ownerOrder(customer, staying.ifEmpty { listOf(own) })
+    }
+
+    private fun zoneFraction(configuration: ConfigurationSnapshot, members: MemberSnapshot): Double {
+        val expected =
+            configuration.fleet
+                ?.availabilityZones
+                .orEmpty()
+                .filter { !it.outOfService }
+                .map { it.id }
+        return visibleZoneFraction(expected, members.live.mapTo(HashSet()) { it.availabilityZone })
+    }
+
+    private companion object {
+        val NO_CONTRACT = LeaseReply(0, 0, LEASE_MILLIS, LimitReason.UNAVAILABLE)
+    }
+}
+
+/** Milliseconds of a clock that never goes back. */
+private fun monotonicMillis(): () -> Long = { System.nanoTime() / 1_000_000 }
