Let one router count the requests at each engine

Cause: routers filled the same engine by counts that were 0.5 to 1 s old. Change: the first router of an engine's zone by rendezvous hash is its home. A chat asks the home for a place before it is sent; a full engine passes it on to the next in its rank, and after eight full ones it starts without a place. A home that does not answer in 50 ms is passed over.

--- a/src/main/kotlin/org/primrosesill/command/ExperimentCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/ExperimentCommand.kt
@@ -8,12 +8,16 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.long
+import org.primrosesill.experiment.PoolSize
 import org.primrosesill.experiment.printCacheReuse
 import org.primrosesill.experiment.printSkew
 import org.primrosesill.experiment.printZoneOutage
+import org.primrosesill.experiment.routingPoolSizes
+import org.primrosesill.experiment.zonePoolSizes
 
 internal fun experimentCommand(): CliktCommand = ExperimentCommand().subcommands(experiments)
 
@@ -22,27 +26,30 @@
 }
 
 /** Prints one table; [measure] gets the output and the seed. */
-private class TableCommand(name: String, private val title: String, private val measure: (Appendable, Long) -> Unit) :
-    CliktCommand(name) {
+private class TableCommand(
+    name: String,
+    private val title: String,
+    private val defaults: List<PoolSize>,
+    private val measure: (Appendable, Long, List<PoolSize>) -> Unit,
+) : CliktCommand(name) {
     private val seed by option("--seed", help = "Seed of the random numbers.").long().default(1)
+    private val size by option("--size", help = "One size only: routers, engines and mean load, as in 48,128,15.")
+        .convert { text -> parsePoolSize(text) ?: fail("'$text' is not of the form 48,128,15") }
 
     override fun help(context: Context): String = title
 
-    override fun run() = measure(System.out, seed)
+    override fun run() = measure(System.out, seed, size?.let(::listOf) ?: defaults)
+}
+
+private fun parsePoolSize(text: String): PoolSize? {
+    val numbers = text.split(',').map { it.toDoubleOrNull() ?: return null }
+    return if (numbers.size == 3) PoolSize(numbers[0].toInt(), numbers[1].toInt(), numbers[2]) else null
 }
 
 private val experiments: List<CliktCommand>
     get() =
         listOf(
-            TableCommand(
-                "skew",
-                "Load of the busiest engine over the mean.",
-            ) { output, seed -> printSkew(output, seed) },
-            TableCommand("cache-reuse", "Prompt cache reuse while engines churn.") { output, seed ->
-                printCacheReuse(output, seed)
-            },
-            TableCommand(
-                "zone",
-                "Service while a zone leaves and returns.",
-            ) { output, seed -> printZoneOutage(output, seed) },
+            TableCommand("skew", "Load of the busiest engine over the mean.", routingPoolSizes, ::printSkew),
+            TableCommand("cache-reuse", "Prompt cache reuse while engines churn.", routingPoolSizes, ::printCacheReuse),
+            TableCommand("zone", "Service while a zone leaves and returns.", zonePoolSizes, ::printZoneOutage),
         )
--- a/src/main/kotlin/org/primrosesill/experiment/ProductPolicy.kt
+++ b/src/main/kotlin/org/primrosesill/experiment/ProductPolicy.kt
@@ -9,19 +9,26 @@
 import org.primrosesill.generated.LoadReport
 import org.primrosesill.generated.PoolKind
 import org.primrosesill.generated.PoolSettings
+import org.primrosesill.generated.ReservationRequest
+import org.primrosesill.generated.ReservationState
 import org.primrosesill.generated.VmEntry
 import org.primrosesill.generated.VmKind
 import org.primrosesill.generated.VmList
 import org.primrosesill.generated.VmState
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.PoolId
+import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.model.VmId
+import org.primrosesill.routing.ReservationTable
 import org.primrosesill.routing.RoutingRequest
 import org.primrosesill.routing.RoutingSnapshot
+import org.primrosesill.routing.UpstreamChoice
 import org.primrosesill.routing.UpstreamSelector
 import org.primrosesill.routing.UpstreamTable
+import org.primrosesill.routing.UpstreamView
 import org.primrosesill.routing.affinityUpstreamSelector
+import org.primrosesill.routing.upstreamHome
 
 private val trialPool = PoolId("trial")
 
@@ -33,11 +40,16 @@
     private var nowMillis = 0L
     private val tables = List(settings.routers) { UpstreamTable() }
     private val selectors = List(settings.routers, ::newSelector)
+    private val reservations = List(settings.routers) { ReservationTable() }
+    private val routerIds = List(settings.routers) { RouterId("router-$it") }
+    private val routerIndexes = routerIds.withIndex().associate { (index, id) -> id to index }
+    private val routerZones = routerIds.withIndex().associate { (index, id) -> id to zoneId(index % settings.zones) }
     private val ids = fleet.engines.map { it.id }
     private val indexes = ids.withIndex().associate { (index, id) -> id to index }
 
     /** Counts and reports that each router sent in its rounds, oldest first. */
     private val sentCounts = List(settings.routers) { ArrayDeque<Pair<Long, IntArray>>() }
+    private val observed = List(settings.routers) { LongArray(settings.routers) { -1 } }
     private val polledReports = ArrayDeque<Pair<Long, List<LoadReport>>>()
 
     /** Reports made from refusals that said cold, spread like polled ones. */
@@ -55,11 +67,33 @@
 
     override fun choose(router: Int, prompt: TrialPrompt, excluded: Set<Int>, nowMillis: Long): TrialChoice? {
         this.nowMillis = nowMillis
-        val request = RoutingRequest(trialPool, prompt.chat.toString(), excluded.mapTo(HashSet()) { ids[it] })
-        return selectors[router].choose(request).fold(
-            { null },
-            { TrialChoice(indexes.getValue(it.upstream.id), it.slotNeeded) },
-        )
+        val full = HashSet<UpstreamId>()
+        val tried = excluded.mapTo(HashSet()) { ids[it] }
+        repeat(MAXIMUM_PLACES) {
+            val choice = chooseAt(router, prompt, tried + full) ?: return@repeat
+            if (choice.slotNeeded || reserve(router, choice.upstream)) return trialChoice(choice)
+            selectors[router].finish(choice.upstream.id)
+            full += choice.upstream.id
+        }
+        return chooseAt(router, prompt, tried)?.let(::trialChoice)
+    }
+
+    private fun chooseAt(router: Int, prompt: TrialPrompt, excluded: Set<UpstreamId>): UpstreamChoice? =
+        selectors[router].choose(RoutingRequest(trialPool, prompt.chat.toString(), excluded)).getOrNull()
+
+    private fun trialChoice(choice: UpstreamChoice) =
+        TrialChoice(indexes.getValue(choice.upstream.id), choice.slotNeeded)
+
+    /** The way to the home takes a few milliseconds, which is short beside the delay of the exchange. */
+    private fun reserve(router: Int, upstream: UpstreamView): Boolean {
+        if (!settings.reservations) return true
+        val home = upstreamHome(upstream.id, upstream.availabilityZone, routerZones) ?: return true
+        val homeIndex = routerIndexes.getValue(home)
+        val others = (selectors[router].inFlight()[upstream.id] ?: 1) - 1
+        val total = selectors[router].poolTotal(trialPool)
+        val limit = selectors[homeIndex].loadLimit(trialPool, upstream.id, total)
+        val request = ReservationRequest(trialPool, upstream.id, routerIds[router], others, total)
+        return reservations[homeIndex].reserve(request, limit, nowMillis).state != ReservationState.FULL
     }
 
     override fun finish(router: Int, engine: Int) = selectors[router].finish(ids[engine])
@@ -108,6 +142,7 @@
         val arrived = nowMillis - settings.exchangeDelayMillis
         val table = tables[router]
         table.applyOthersInFlight(othersInFlight(router, arrived))
+        observeReservations(router, arrived)
         polledReports.lastOrNull { it.first <= arrived }?.let { table.applyReports(it.second, nowMillis) }
         while (refusalReports.isNotEmpty() && refusalReports.first().first < nowMillis - REFUSAL_MEMORY_MILLIS) {
             refusalReports.removeFirst()
@@ -126,7 +161,24 @@
         return sums.indices.filter { sums[it] > 0 }.associate { ids[it] to sums[it] }
     }
 
+    /** Each part reaches the reservation table once, when it arrives. */
+    private fun observeReservations(router: Int, arrivedMillis: Long) {
+        for (other in sentCounts.indices) {
+            val sent = sentCounts[other].lastOrNull { it.first <= arrivedMillis } ?: continue
+            if (other == router || observed[router][other] == sent.first) continue
+            observed[router][other] = sent.first
+            val counts =
+                sent.second.indices
+                    .filter { sent.second[it] > 0 }
+                    .associate { ids[it] to sent.second[it] }
+            reservations[router].observe(routerIds[other], counts, nowMillis)
+        }
+    }
+
     private companion object {
+        /** As in the request path. */
+        const val MAXIMUM_PLACES = 8
+
         /** Rounds kept in the delay line; more than the longest delay needs. */
         const val HISTORY = 8
         const val REFUSAL_MEMORY_MILLIS = 5_000L
--- a/src/main/kotlin/org/primrosesill/experiment/RoutingTrial.kt
+++ b/src/main/kotlin/org/primrosesill/experiment/RoutingTrial.kt
@@ -19,6 +19,7 @@
 /** Names a policy and creates it for one trial. */
 internal enum class TrialPolicy(val label: String) {
     PRODUCT("primrosesill"),
+    WITHOUT_HOMES("without homes"),
     RANDOM("random"),
     ROUND_ROBIN("round robin"),
     CONSISTENT_HASHING("consistent hashing"),
@@ -42,7 +43,7 @@
             TrialEngine(it, it % settings.zones, settings.cacheTokens, settings.bears)
         }
     private val fleet = TrialFleet(engines)
-    private val product = if (kind == TrialPolicy.PRODUCT) ProductPolicy(settings, fleet) else null
+    private val product = productPolicy(kind)
     private val policy = product ?: baseline(kind)
     private val measures = TrialMeasures(LOAD_MULTIPLE)
     private val unavailableSince = HashMap<Int, Long>()
@@ -52,6 +53,13 @@
     private fun random(stream: Long): UniformRandomProvider =
         RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed * 31 + stream)
 
+    private fun productPolicy(kind: TrialPolicy): ProductPolicy? =
+        when (kind) {
+            TrialPolicy.PRODUCT -> ProductPolicy(settings, fleet)
+            TrialPolicy.WITHOUT_HOMES -> ProductPolicy(settings.copy(reservations = false), fleet)
+            else -> null
+        }
+
     private fun baseline(kind: TrialPolicy): RoutingPolicy =
         when (kind) {
             TrialPolicy.ROUND_ROBIN -> roundRobinPolicy(fleet, settings.routers)
--- a/src/main/kotlin/org/primrosesill/experiment/RoutingTrialSettings.kt
+++ b/src/main/kotlin/org/primrosesill/experiment/RoutingTrialSettings.kt
@@ -37,6 +37,7 @@
  * @property surgeFactor arrivals of new chats during a surge as a multiple of the usual ones
  * @property hotShare part of all requests that carry one and the same affinity key during a surge
  * @property bears requests that a cold engine bears at once
+ * @property reservations whether routers ask the home of an engine for a place; off to measure what that brings
  * @property warmUpMillis time that an engine is cold after it started
  */
 internal data class RoutingTrialSettings(
@@ -58,6 +59,7 @@
     val bears: Int = 1,
     val warmUpMillis: Long = 10_000,
     val events: List<TrialEvent> = emptyList(),
+    val reservations: Boolean = true,
 ) {
     val endMillis: Long get() = settleMillis + measureMillis
 }
--- a/src/main/kotlin/org/primrosesill/http/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerClient.kt
@@ -35,6 +35,8 @@
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
+import org.primrosesill.generated.ReservationReply
+import org.primrosesill.generated.ReservationRequest
 import org.primrosesill.generated.StoredAnswer
 import org.primrosesill.generated.VmList
 import org.primrosesill.model.ClaimResource
@@ -70,6 +72,8 @@
     public suspend fun outcome(address: String, resource: ClaimResource): Either<PeerFailure, ClaimOutcome>
 
     public suspend fun lease(address: String, request: LeaseRequest): Either<PeerFailure, LeaseReply>
+
+    public suspend fun reserve(address: String, request: ReservationRequest): Either<PeerFailure, ReservationReply>
 }
 
 /**
@@ -99,6 +103,9 @@
     override suspend fun lease(address: String, request: LeaseRequest) =
         post(address, LEASE_PATH, serializer<LeaseRequest>(), request, serializer<LeaseReply>())
 
+    override suspend fun reserve(address: String, request: ReservationRequest) =
+        post(address, RESERVATION_PATH, serializer<ReservationRequest>(), request, serializer<ReservationReply>())
+
     override suspend fun release(address: String, release: ClaimRelease) =
         post(address, CLAIM_RELEASE_PATH, serializer<ClaimRelease>(), release)
 
--- a/src/main/kotlin/org/primrosesill/http/PeerListener.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerListener.kt
@@ -27,6 +27,8 @@
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
+import org.primrosesill.generated.ReservationReply
+import org.primrosesill.generated.ReservationRequest
 import org.primrosesill.generated.StoredAnswer
 import org.primrosesill.generated.VmList
 import org.primrosesill.model.ClaimResource
@@ -48,6 +50,8 @@
     public suspend fun outcome(resource: ClaimResource): ClaimOutcome
 
     public suspend fun lease(request: LeaseRequest): LeaseReply
+
+    public suspend fun reserve(request: ReservationRequest): ReservationReply
 }
 
 /**
@@ -62,6 +66,7 @@
             postJson<ExchangeMessage, ExchangeMessage>(EXCHANGE_PATH, handler::exchange)
             postJson<ClaimRequest, ClaimReply>(CLAIM_PATH, handler::claim)
             postJson<LeaseRequest, LeaseReply>(LEASE_PATH, handler::lease)
+            postJson<ReservationRequest, ReservationReply>(RESERVATION_PATH, handler::reserve)
             postJson<ClaimRelease>(CLAIM_RELEASE_PATH, handler::release)
             postJson<StoredAnswer>(CLAIM_OUTCOME_PATH, handler::storeAnswer)
             configurationRoute(handler)
--- a/src/main/kotlin/org/primrosesill/http/PeerPaths.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerPaths.kt
@@ -9,6 +9,7 @@
 internal const val CLAIM_PATH = "/peer/v1/claim"
 internal const val CLAIM_RELEASE_PATH = "/peer/v1/claim/release"
 internal const val CLAIM_OUTCOME_PATH = "/peer/v1/claim/outcome"
+internal const val RESERVATION_PATH = "/peer/v1/reservation"
 internal const val LEASE_PATH = "/peer/v1/lease"
 
 /** A configuration value has at most 1 MB; a page carries at least one value and the fields around it. */
--- a/src/main/kotlin/org/primrosesill/request/Attempts.kt
+++ b/src/main/kotlin/org/primrosesill/request/Attempts.kt
@@ -4,6 +4,7 @@
  */
 package org.primrosesill.request
 
+import arrow.core.Either
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.currentCoroutineContext
@@ -17,6 +18,7 @@
 import org.primrosesill.generated.PoolKind
 import org.primrosesill.model.Failure
 import org.primrosesill.model.UpstreamId
+import org.primrosesill.routing.Reservation
 import org.primrosesill.routing.RoutingRequest
 import org.primrosesill.routing.UpstreamChoice
 import org.primrosesill.routing.UpstreamView
@@ -26,8 +28,8 @@
 /** Attempts after the first one. */
 private const val MAXIMUM_RETRIES = 2
 
-/** Cold upstreams whose slots are tried in one attempt, so that a request is not held back for long. */
-private const val MAXIMUM_SLOT_CLAIMS = 3
+/** Upstreams that are asked for a slot or a place in one attempt, so that a request is not held back for long. */
+private const val MAXIMUM_PLACES = 8
 
 private val cancelTimeout = 1.seconds
 
@@ -67,23 +69,51 @@
         work.timeLeft().isPositive() && dependencies.retryBudget.tryRetry(work.contract.customer)
 
     private suspend fun attempt(work: Work, excluded: MutableSet<UpstreamId>, deliver: Deliver): Outcome {
-        repeat(MAXIMUM_SLOT_CLAIMS) {
-            val request = RoutingRequest(work.pool, work.affinityKey, excluded.toSet())
-            val choice = dependencies.selector.choose(request).fold({ return Outcome.NotRun(it) }, { it })
-            excluded += choice.upstream.id
-            attemptAt(work, choice, deliver)?.let { return it }
+        val slotless = mutableSetOf<UpstreamId>()
+        val full = mutableSetOf<UpstreamId>()
+        repeat(MAXIMUM_PLACES) {
+            val choice = choose(work, excluded + slotless + full).getOrNull() ?: return@repeat
+            val outcome = attemptAt(work, choice, placeNeeded = true, deliver)
+            if (outcome != null) {
+                excluded += choice.upstream.id
+                return outcome
+            }
+            (if (choice.slotNeeded) slotless else full) += choice.upstream.id
         }
-        return Outcome.NotRun(Failure.NoUpstream(work.pool, "all slots of cold upstreams are taken"))
+        return attemptWithoutPlace(work, excluded, slotless, deliver)
+    }
+
+    /** Every upstream that was asked is at its bound. A queue at the one with most room beats a refusal. */
+    private suspend fun attemptWithoutPlace(
+        work: Work,
+        excluded: MutableSet<UpstreamId>,
+        slotless: Set<UpstreamId>,
+        deliver: Deliver,
+    ): Outcome {
+        val choice = choose(work, excluded + slotless).fold({ return Outcome.NotRun(it) }, { it })
+        excluded += choice.upstream.id
+        return attemptAt(work, choice, placeNeeded = false, deliver)
+            ?: Outcome.NotRun(Failure.NoUpstream(work.pool, "all slots of cold upstreams are taken"))
     }
 
-    /** Returns null when the upstream is cold and has no slot left. */
-    private suspend fun attemptAt(work: Work, choice: UpstreamChoice, deliver: Deliver): Outcome? {
+    private fun choose(work: Work, excluded: Set<UpstreamId>): Either<Failure, UpstreamChoice> =
+        dependencies.selector.choose(RoutingRequest(work.pool, work.affinityKey, excluded))
+
+    /** Returns null when the upstream is cold and has no slot left, or is warm and has no place left. */
+    private suspend fun attemptAt(
+        work: Work,
+        choice: UpstreamChoice,
+        placeNeeded: Boolean,
+        deliver: Deliver,
+    ): Outcome? {
         var slot: SlotClaim? = null
         try {
             if (choice.slotNeeded) {
                 // A claim that was granted must reach this function even if the caller leaves in the meantime.
                 withContext(NonCancellable) { slot = claimSlot(work, choice.upstream) }
                 if (slot == null) return null
+            } else if (placeNeeded && isFull(work, choice.upstream)) {
+                return null
             }
             return send(work, choice.upstream, deliver)
         } finally {
@@ -92,6 +122,10 @@
         }
     }
 
+    /** Plain services have no load bound, so that only engines are asked for a place. */
+    private suspend fun isFull(work: Work, upstream: UpstreamView): Boolean =
+        work.kind == PoolKind.CHAT && dependencies.reservations.reserve(work.pool, upstream) == Reservation.FULL
+
     private suspend fun claimSlot(work: Work, upstream: UpstreamView): SlotClaim? {
         val until = dependencies.currentMillis() + work.timeLeft().inWholeMilliseconds
         return dependencies.slotClaims.claim(upstream.id, upstream.bears, until)
--- a/src/main/kotlin/org/primrosesill/request/RequestFlow.kt
+++ b/src/main/kotlin/org/primrosesill/request/RequestFlow.kt
@@ -23,6 +23,8 @@
 import org.primrosesill.limit.CustomerPermit
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.Failure
+import org.primrosesill.routing.Reservation
+import org.primrosesill.routing.Reservations
 import org.primrosesill.routing.UpstreamSelector
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -48,6 +50,7 @@
     public val metrics: MeterRegistry,
     public val currentMillis: () -> Long = System::currentTimeMillis,
     public val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
+    public val reservations: Reservations = Reservations { _, _ -> Reservation.UNAVAILABLE },
 )
 
 /** Serves requests of callers. Safe to call from any thread. */
--- a/src/main/kotlin/org/primrosesill/router/ControlState.kt
+++ b/src/main/kotlin/org/primrosesill/router/ControlState.kt
@@ -22,6 +22,7 @@
 import org.primrosesill.membership.MemberTable
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.UpstreamId
+import org.primrosesill.routing.ReservationTable
 import org.primrosesill.routing.UpstreamTable
 
 /**
@@ -40,6 +41,7 @@
     val documents: DocumentStore,
     val claims: ClaimTable,
     private val customers: CustomerOwner,
+    private val reservations: ReservationTable,
     private val views: PublishedViews,
     private val events: EventLog,
     private val ownCounts: () -> OwnCounts,
@@ -77,6 +79,8 @@
             if (parts.merge(part, nowMillis)) {
                 val inFlight = part.customersInFlight.orEmpty().mapKeys { CustomerId(it.key) }
                 customers.observe(part.member.router, inFlight, nowMillis)
+                val upstreams = part.inFlight.orEmpty().mapKeys { UpstreamId(it.key) }
+                reservations.observe(part.member.router, upstreams, nowMillis)
             }
         }
         upstreams.applyReports(parts.reports().values.toList(), nowMillis)
@@ -143,6 +147,7 @@
         val update = upstreams.tick(nowMillis)
         update.changes.forEach { events.record(it.type, it.cause, it.subject) }
         parts.retainUpstreams(upstreams.zones.keys)
+        reservations.retainUpstreams(upstreams.zones.keys)
         views.routing.set(update.snapshot)
         views.configuration.set(documents.snapshot)
         views.members.set(members.snapshot())
@@ -160,6 +165,7 @@
                 is MemberChange.Lost -> {
                     parts.remove(change.member.router)
                     customers.forget(change.member.router)
+                    reservations.forget(change.member.router)
                     events.record(EventType.MEMBER_LOST, change.cause, subject)
                 }
             }
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/router/HomeReservations.kt
@@ -0,0 +1,74 @@
+/*
+ * Reservations over the peer protocol: asks the homes of upstreams, and answers as the home of some.
+ */
+package org.primrosesill.router
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.primrosesill.generated.MemberState
+import org.primrosesill.generated.ReservationReply
+import org.primrosesill.generated.ReservationRequest
+import org.primrosesill.generated.ReservationState
+import org.primrosesill.http.PeerClient
+import org.primrosesill.limit.OWNER_UNHEARD_MILLIS
+import org.primrosesill.model.PoolId
+import org.primrosesill.model.RouterId
+import org.primrosesill.routing.Reservation
+import org.primrosesill.routing.ReservationTable
+import org.primrosesill.routing.Reservations
+import org.primrosesill.routing.UpstreamSelector
+import org.primrosesill.routing.UpstreamView
+import org.primrosesill.routing.upstreamHome
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A home that does not answer costs each request this time, and the request then starts without a place. */
+private val HOME_TIMEOUT = 50.milliseconds
+
+internal class HomeReservations(
+    private val own: RouterId,
+    private val views: PublishedViews,
+    private val control: ControlThread,
+    private val table: ReservationTable,
+    private val selector: UpstreamSelector,
+    private val peers: PeerClient,
+    private val currentMillis: () -> Long,
+) : Reservations {
+    override suspend fun reserve(pool: PoolId, upstream: UpstreamView): Reservation {
+        val home = homeOf(upstream) ?: return Reservation.UNAVAILABLE
+        val others = (selector.inFlight()[upstream.id] ?: 1) - 1
+        val request = ReservationRequest(pool, upstream.id, own, others, selector.poolTotal(pool))
+        val reply = if (home == own) grant(request) else withTimeoutOrNull(HOME_TIMEOUT) { ask(home, request) }
+        return when (reply?.state) {
+            ReservationState.GRANTED -> Reservation.GRANTED
+            ReservationState.FULL -> Reservation.FULL
+            ReservationState.UNKNOWN, null -> Reservation.UNAVAILABLE
+        }
+    }
+
+    /** Answers as the home of the upstream, whether or not this router takes itself for it. */
+    suspend fun grant(request: ReservationRequest): ReservationReply {
+        val limit = selector.loadLimit(request.pool, request.upstream, request.poolTotal)
+        return control.run { table.reserve(request, limit, currentMillis()) }
+    }
+
+    private suspend fun ask(home: RouterId, request: ReservationRequest): ReservationReply? =
+        views.members
+            .get()
+            .live
+            .firstOrNull { it.router == home }
+            ?.let { peers.reserve(it.address, request).getOrNull() }
+
+    private fun homeOf(upstream: UpstreamView): RouterId? {
+        val members = views.members.get()
+        val heardSince = currentMillis() - OWNER_UNHEARD_MILLIS
+        val reachable =
+            members.live.filter { it.state == MemberState.LIVE && members.heardAtMillis(it.router) >= heardSince }
+        return upstreamHome(
+            upstream.id,
+            upstream.availabilityZone,
+            reachable.associate {
+                it.router to
+                    it.availabilityZone
+            },
+        )
+    }
+}
--- a/src/main/kotlin/org/primrosesill/router/PeerMessages.kt
+++ b/src/main/kotlin/org/primrosesill/router/PeerMessages.kt
@@ -11,6 +11,8 @@
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
+import org.primrosesill.generated.ReservationReply
+import org.primrosesill.generated.ReservationRequest
 import org.primrosesill.generated.StoredAnswer
 import org.primrosesill.generated.VmList
 import org.primrosesill.http.PeerHandler
@@ -24,6 +26,7 @@
     private val state: ControlState,
     private val voter: ClaimVoter,
     private val leases: suspend (LeaseRequest) -> LeaseReply,
+    private val reservations: suspend (ReservationRequest) -> ReservationReply,
     private val currentMillis: () -> Long,
 ) : PeerHandler {
     override suspend fun exchange(message: ExchangeMessage): ExchangeMessage =
@@ -46,4 +49,6 @@
     override suspend fun outcome(resource: ClaimResource): ClaimOutcome = voter.outcome(resource).toClaimOutcome()
 
     override suspend fun lease(request: LeaseRequest): LeaseReply = leases(request)
+
+    override suspend fun reserve(request: ReservationRequest): ReservationReply = reservations(request)
 }
--- a/src/main/kotlin/org/primrosesill/router/RouterParts.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterParts.kt
@@ -29,6 +29,7 @@
 import org.primrosesill.model.RouterId
 import org.primrosesill.request.RequestFlowDependencies
 import org.primrosesill.request.requestFlow
+import org.primrosesill.routing.ReservationTable
 import org.primrosesill.routing.UpstreamTable
 import org.primrosesill.routing.affinityUpstreamSelector
 import java.util.UUID
@@ -92,6 +93,9 @@
             },
         )
     val limits = RouterLimits(settings, self.router, views, control, customerOwner, peers, currentMillis)
+    private val reservationTable = ReservationTable()
+    val reservations =
+        HomeReservations(self.router, views, control, reservationTable, selector, peers, currentMillis)
     val state: ControlState =
         ControlState(
             members = members,
@@ -100,6 +104,7 @@
             documents = DocumentStore(),
             claims = claimTable,
             customers = customerOwner,
+            reservations = reservationTable,
             views = views,
             events = events,
             ownCounts = ::ownCounts,
@@ -114,6 +119,7 @@
                 keyClaims = keyClaims,
                 slotClaims = slotClaims,
                 selector = selector,
+                reservations = reservations,
                 client = upstreamClient(),
                 events = events,
                 metrics = metrics,
--- a/src/main/kotlin/org/primrosesill/router/RouterStart.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterStart.kt
@@ -88,7 +88,15 @@
     parts: RouterParts,
     scope: CoroutineScope,
 ): RouterListeners {
-    val messages = PeerMessages(parts.control, parts.state, parts.voter, parts.limits::grant, parts.currentMillis)
+    val messages =
+        PeerMessages(
+            control = parts.control,
+            state = parts.state,
+            voter = parts.voter,
+            leases = parts.limits::grant,
+            reservations = parts.reservations::grant,
+            currentMillis = parts.currentMillis,
+        )
     val caller = callerListener(addresses.caller.host, addresses.caller.port, parts.flow)
     val peer = peerListener(addresses.peer, messages, settings.peerToken)
     val operator = operatorListener(addresses.operator, StatusSource(parts), parts.metrics, settings.operatorToken)
--- a/src/main/kotlin/org/primrosesill/routing/AffinityUpstreamSelector.kt
+++ b/src/main/kotlin/org/primrosesill/routing/AffinityUpstreamSelector.kt
@@ -64,6 +64,11 @@
         }
     }
 
+    override fun loadLimit(pool: PoolId, upstream: UpstreamId, knownTotal: Int): Int? =
+        current().pools[pool]?.loadLimit(upstream, knownTotal, currentMillis())
+
+    override fun poolTotal(pool: PoolId): Int = current().pools[pool]?.total(currentMillis()) ?: 0
+
     override fun finish(upstream: UpstreamId) {
         counters[upstream.value]?.finish()
     }
--- a/src/main/kotlin/org/primrosesill/routing/CandidateSet.kt
+++ b/src/main/kotlin/org/primrosesill/routing/CandidateSet.kt
@@ -5,6 +5,7 @@
 package org.primrosesill.routing
 
 import org.primrosesill.generated.UpstreamState
+import org.primrosesill.model.UpstreamId
 import java.util.concurrent.atomic.AtomicInteger
 
 /** The total is counted again after this part of it. */
@@ -64,6 +65,18 @@
         return loadBound(fresh.total + 1, fresh.shares, loadMultiple)
     }
 
+    /** Requests at the warm candidates. */
+    fun total(nowMillis: Long): Int = count(started.get(), nowMillis).total
+
+    /** The most requests that a warm candidate may carry when at least [knownTotal] run, or null for any other. */
+    fun loadLimit(upstream: UpstreamId, knownTotal: Int, nowMillis: Long): Int? {
+        val index = views.indexOfFirst { it.id == upstream }
+        if (index < 0 || isCold(index, nowMillis)) return null
+        val pool = count(started.get(), nowMillis)
+        val bound = loadBound(maxOf(pool.total, knownTotal) + 1, pool.shares, loadMultiple)
+        return maxOf(1.0, bound * rampShares[index]).toInt()
+    }
+
     /** Counts the warm candidates; those that have just become warm as the part that they may carry. */
     private fun count(startedBefore: Int, nowMillis: Long): Count {
         var total = 0
--- a/src/main/kotlin/org/primrosesill/routing/UpstreamSelector.kt
+++ b/src/main/kotlin/org/primrosesill/routing/UpstreamSelector.kt
@@ -76,6 +76,16 @@
     /** Records that [upstream] said it is cold in an answer, ahead of its next report. */
     public fun recordCold(upstream: UpstreamId, bears: Int)
 
+    /**
+     * The most requests that [upstream] may carry now as one of [pool], or null when it is not an eligible warm member.
+     *
+     * @param knownTotal requests in the pool as another router knows them; the higher of both views counts
+     */
+    public fun loadLimit(pool: PoolId, upstream: UpstreamId, knownTotal: Int): Int?
+
+    /** Requests in [pool] as this router knows them. */
+    public fun poolTotal(pool: PoolId): Int
+
     /** Requests of this router in flight by upstream; zero entries are left out. */
     public fun inFlight(): Map<UpstreamId, Int>
 }
--- a/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
@@ -26,6 +26,9 @@
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
+import org.primrosesill.generated.ReservationReply
+import org.primrosesill.generated.ReservationRequest
+import org.primrosesill.generated.ReservationState
 import org.primrosesill.generated.StoredAnswer
 import org.primrosesill.generated.VmList
 import org.primrosesill.model.ClaimResource
@@ -179,5 +182,7 @@
             answers[resource]?.let { ClaimOutcome(ClaimState.STORED, it) } ?: ClaimOutcome(ClaimState.NOT_HELD)
 
         override suspend fun lease(request: LeaseRequest) = LeaseReply(request.wanted, 1_000, 0)
+
+        override suspend fun reserve(request: ReservationRequest) = ReservationReply(ReservationState.GRANTED)
     }
 }
--- a/src/test/kotlin/org/primrosesill/request/CountingFakes.kt
+++ b/src/test/kotlin/org/primrosesill/request/CountingFakes.kt
@@ -25,6 +25,7 @@
 import org.primrosesill.model.ClaimResource
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.Failure
+import org.primrosesill.model.PoolId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.routing.RoutingRequest
 import org.primrosesill.routing.UpstreamChoice
@@ -129,6 +130,10 @@
         return UpstreamChoice(view, address in slotNeeded).right()
     }
 
+    override fun loadLimit(pool: PoolId, upstream: UpstreamId, knownTotal: Int): Int? = null
+
+    override fun poolTotal(pool: PoolId): Int = 0
+
     override fun finish(upstream: UpstreamId) = synchronized(open) { open.getValue(upstream).removeFirst() }.invoke()
 
     override fun recordConnection(upstream: UpstreamId, succeeded: Boolean) {
