--- a/src/test/kotlin/org/primrosesill/routing/AffinityUpstreamSelectorTest.kt
+++ b/src/test/kotlin/org/primrosesill/routing/AffinityUpstreamSelectorTest.kt
@@ -52,6 +52,23 @@
                     selector(view("one", reported = 40), view("two", others = 20), view("three", others = 20))
                 listOf(selector.picks(8).count { it == "one" })
             },
+            Triple("the last places go to a part of the keys, the same part at each router", listOf(true, true)) {
+                val views =
+                    arrayOf(
+                        view("one", others = 60),
+                        view("two", others = 47),
+                        view("three", others = 47),
+                        view("four", others = 47),
+                    )
+                val first = selector(*views)
+                val second = selector(*views)
+                val pick = { selector: UpstreamSelector, key: String ->
+                    selector.pick(key).also { selector.finish(UpstreamId(it!!)) }
+                }
+                val picks = List(400) { pick(first, "chat $it") }
+                // With room for 3 requests out of 6.3 thinned ones, about half of its even share of 100 remains.
+                listOf(picks.count { it == "one" } in 1..74, picks == List(400) { pick(second, "chat $it") })
+            },
             Triple("a cold upstream takes what it bears and needs slots", listOf("one slot", "one slot", null)) {
                 selector(view("one", UpstreamState.COLD, bears = 2)).picks(3)
             },
