--- a/src/test/kotlin/org/primrosesill/limit/FleetLimitsTest.kt
+++ b/src/test/kotlin/org/primrosesill/limit/FleetLimitsTest.kt
@@ -81,7 +81,10 @@
                 val fixedShare = over.second.worstMinuteOver(over.first, over.second.baselineStarted)
                 println(
                     "limits seed=$SEED case='${case.name}' routers=$routers " +
-                        "over=%.1f%% served=%.1f%% ".format(over.second.worstMinuteOver(over.first) * 100, served * 100) +
+                        "over=%.1f%% served=%.1f%% ".format(
+                            over.second.worstMinuteOver(over.first) * 100,
+                            served * 100,
+                        ) +
                         "refused=${within.second.refused} of ${within.second.offered} calls=${within.second.calls} " +
                         "fixed-share-over=%.1f%% ".format(fixedShare * 100) +
                         "fixed-share-refused=${within.second.offered - within.second.baselineStarted.size}",
