Keep the share of a customer that a request has just found

Cause: dropping idle customers could drop a share between its look-up and its first count, so that its requests in flight were missing in the exchange.

--- a/src/main/kotlin/org/primrosesill/limit/FleetCustomerLimiter.kt
+++ b/src/main/kotlin/org/primrosesill/limit/FleetCustomerLimiter.kt
@@ -46,8 +46,13 @@
 
     override suspend fun acquire(contract: Contract): Either<Failure, CustomerPermit> {
         val customer = contract.customer
-        val share = shares.computeIfAbsent(customer) { CustomerShare(customer) }
-        share.waiting.incrementAndGet()
+        // Counted inside compute, so that dropIdle cannot drop a share that a request has just found.
+        val share =
+            shares.compute(customer) { _, known ->
+                (known ?: CustomerShare(customer)).also {
+                    it.waiting.incrementAndGet()
+                }
+            }!!
         val refusal =
             try {
                 share.take(currentMillis()) ?: share.calls.withLock { share.take(currentMillis()) ?: ask(share) }
@@ -84,7 +89,14 @@
 
     /** Drops customers without requests. Runs now and then. */
     public fun dropIdle() {
-        shares.values.removeIf { it.isIdle(currentMillis()) }
+        val nowMillis = currentMillis()
+        for (customer in shares.keys) {
+            shares.computeIfPresent(customer) { _, share ->
+                share.takeUnless {
+                    it.isIdle(nowMillis)
+                }
+            }
+        }
     }
 
     private suspend fun ask(share: CustomerShare): Start {
