Limit chats and service calls apart, and keep event lines in order

Cause: one adaptive limit compared chats of seconds with service calls of milliseconds, so that a change of the mix looked like a queue. Event lines could be written out of the order of their numbers, and PRIMROSESILL_ROUTER_PEER refused several addresses. Change: one admission control for each kind of pool; numbering and writing under one lock; peers split at commas.

--- a/src/main/kotlin/org/primrosesill/command/RouterCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RouterCommand.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.split
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.path
@@ -25,7 +26,7 @@
     private val peer by addressOption("--peer-address", "Where other routers reach this router.").required()
     private val operator by addressOption("--operator-address", "Status, metrics and health.").required()
     private val platform by addressOption("--platform-address", "The configuration service; none when left out.")
-    private val peers by addressOption("--peer", "Peer address of another router; can be repeated.").multiple()
+    private val peers by addressOption("--peer", "Peer address of another router; can be repeated.").split(",").multiple()
     private val events by option("--events", help = "File that event lines are appended to.").path(canBeDir = false)
     private val exchangeInterval by millis(
         "--exchange-interval",
@@ -63,7 +64,7 @@
             peerAddress = peer.toString(),
             operatorAddress = operator.toString(),
             platformAddress = platform?.toString().orEmpty(),
-            peers = peers.map { it.toString() },
+            peers = peers.flatten().map { it.toString() },
             exchangeIntervalMillis = exchangeInterval,
             suspicionTimeoutMillis = suspicion,
             stopNoticeMillis = stopNotice,
--- a/src/main/kotlin/org/primrosesill/event/EventLog.kt
+++ b/src/main/kotlin/org/primrosesill/event/EventLog.kt
@@ -13,7 +13,6 @@
 import org.primrosesill.model.RequestId
 import org.primrosesill.model.UpstreamId
 import java.io.PrintStream
-import java.util.concurrent.atomic.AtomicLong
 
 /**
  * What an event is about. Fields that do not apply stay null.
@@ -59,15 +58,17 @@
     private val output: PrintStream,
     private val currentMillis: () -> Long,
 ) : EventLog {
-    private val sequence = AtomicLong()
+    private var sequence = 0L
 
+    // Numbering and writing under one lock keep the lines in the order of their numbers.
+    @Synchronized
     override fun record(type: EventType, cause: String, subject: EventSubject) {
         val record =
             EventRecord(
                 atMillis = currentMillis(),
                 process = process,
                 availabilityZone = availabilityZone,
-                sequence = sequence.incrementAndGet(),
+                sequence = ++sequence,
                 type = type,
                 cause = cause,
                 configurationRevision = subject.configurationRevision,
--- a/src/main/kotlin/org/primrosesill/request/RequestFlow.kt
+++ b/src/main/kotlin/org/primrosesill/request/RequestFlow.kt
@@ -18,6 +18,7 @@
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
 import org.primrosesill.generated.EventType
+import org.primrosesill.generated.PoolKind
 import org.primrosesill.generated.Ran
 import org.primrosesill.limit.CustomerLimiter
 import org.primrosesill.limit.CustomerPermit
@@ -34,12 +35,13 @@
  * What the request path works with.
  *
  * @property configuration returns the documents in force
+ * @property admission returns the control for chats or for service calls, whose durations must not be compared
  * @property currentMillis wall clock in milliseconds since the Unix epoch, for instants that other routers see
  * @property timeSource monotonic time for deadlines
  */
 public class RequestFlowDependencies(
     public val configuration: () -> ConfigurationSnapshot,
-    public val admission: AdmissionControl,
+    public val admission: (PoolKind) -> AdmissionControl,
     public val retryBudget: RetryBudget,
     public val limiter: CustomerLimiter,
     public val keyClaims: KeyClaims,
@@ -123,7 +125,8 @@
                     contract to targetOf(request).bind()
                 }
             val (contract, target) = checked.fold({ return Outcome.NotRun(it) }, { it })
-            val permit = dependencies.admission.admit(contract.priority).fold({ return Outcome.NotRun(it) }, { it })
+            val admission = dependencies.admission(target.kind)
+            val permit = admission.admit(contract.priority).fold({ return Outcome.NotRun(it) }, { it })
             try {
                 return intake.read(request, target, contract, snapshot).fold({ Outcome.NotRun(it) }, { limited(it) })
             } finally {
--- a/src/main/kotlin/org/primrosesill/request/RequestIntake.kt
+++ b/src/main/kotlin/org/primrosesill/request/RequestIntake.kt
@@ -28,9 +28,15 @@
 
 /** What the path of a request asks for. */
 internal sealed interface Target {
-    data object Chat : Target
+    val kind: PoolKind
 
-    class Service(val service: PoolId, val path: String) : Target
+    data object Chat : Target {
+        override val kind = PoolKind.CHAT
+    }
+
+    class Service(val service: PoolId, val path: String) : Target {
+        override val kind = PoolKind.SERVICE
+    }
 }
 
 /** Returns what the path of [request] asks for, once its method is known to be allowed there. */
--- a/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
@@ -3,6 +3,7 @@
  */
 package org.primrosesill.router
 
+import org.primrosesill.admission.AdmissionControl
 import org.primrosesill.admission.AdmissionSettings
 import org.primrosesill.admission.priorityAdmissionControl
 import org.primrosesill.admission.tokenRetryBudget
@@ -11,6 +12,7 @@
 import org.primrosesill.generated.LeaseRequest
 import org.primrosesill.generated.LimitReason
 import org.primrosesill.generated.MemberState
+import org.primrosesill.generated.PoolKind
 import org.primrosesill.generated.RouterSettings
 import org.primrosesill.http.PeerClient
 import org.primrosesill.limit.CustomerOwner
@@ -35,11 +37,17 @@
     private val peers: PeerClient,
     private val currentMillis: () -> Long,
 ) {
-    val admission = priorityAdmissionControl(AdmissionSettings(maximumInFlight = settings.maximumConcurrentRequests))
+    // Chats last seconds and service calls milliseconds; one limit for both would take chats for a queue.
+    private val admissions =
+        PoolKind.entries.associateWith {
+            priorityAdmissionControl(AdmissionSettings(maximumInFlight = settings.maximumConcurrentRequests))
+        }
     val retryBudget = tokenRetryBudget()
     val limiter = FleetCustomerLimiter(own, LeaseClient(::askOwner), monotonicMillis())
     private val service = LeaseService(own, ::firstOwner, ::grantHere, ::forward)
 
+    fun admission(kind: PoolKind): AdmissionControl = admissions.getValue(kind)
+
     fun inFlight(): Map<CustomerId, Int> = limiter.inFlight()
 
     /** Reports generated tokens to the owners and drops idle customers. Runs once a second. */
--- a/src/main/kotlin/org/primrosesill/router/RouterParts.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterParts.kt
@@ -113,7 +113,7 @@
         requestFlow(
             RequestFlowDependencies(
                 configuration = views.configuration::get,
-                admission = limits.admission,
+                admission = limits::admission,
                 retryBudget = limits.retryBudget,
                 limiter = limits.limiter,
                 keyClaims = keyClaims,
--- a/src/test/kotlin/org/primrosesill/request/RequestFixture.kt
+++ b/src/test/kotlin/org/primrosesill/request/RequestFixture.kt
@@ -174,7 +174,7 @@
         requestFlow(
             RequestFlowDependencies(
                 { configuration },
-                admission,
+                { admission },
                 budget,
                 limiter,
                 claims,
