--- a/src/main/kotlin/org/primrosesill/exchange/ExchangePlan.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/ExchangePlan.kt
@@ -35,7 +35,7 @@
  * round, because a cut may be one-way. Beyond [FULL_MESH_ROUTERS] the routers of a zone form a grid; even rounds run
  * along its rows and odd rounds along its columns, so that two rounds reach the zone. Positions are permuted every two
  * rounds, so that a lost router does not hide the same news twice. Each router also exchanges with one router of another
- * zone in each round; neighbours in the grid take different zones.
+ * zone in each round; the zones come in turn, and the routers of a zone start at different ones.
  *
  * @param live all live members with [self], in any order
  */
@@ -53,7 +53,9 @@
     val position = own.indexOfFirst { it.router == self }
     val line = line(round, own, position)
     val inZone = started(round / 2, line, line.indexOfFirst { it.router == self })
-    val between = otherZone(round, zoneNames.indexOf(ownZone), position, zoneNames.size)
+    // The turn of the zones does not follow the permuted position: each zone is visited once in as many rounds.
+    val rank = zones.getValue(ownZone).indexOfFirst { it.router == self }
+    val between = otherZone(round, zoneNames.indexOf(ownZone), rank, zoneNames.size)
     val remote = between?.let { permuted(round, zones.getValue(zoneNames[it])) }?.let { it[position % it.size] }
     return inZone.map { PlannedExchange(it, ExchangeContent.ZONE) } +
         listOfNotNull(remote?.let { PlannedExchange(it, ExchangeContent.BETWEEN_ZONES) })
@@ -84,8 +86,8 @@
     }
 }
 
-private fun otherZone(round: Long, zone: Int, position: Int, zones: Int): Int? =
-    if (zones < 2) null else (zone + 1 + ((position + round) % (zones - 1)).toInt()) % zones
+private fun otherZone(round: Long, zone: Int, rank: Int, zones: Int): Int? =
+    if (zones < 2) null else (zone + 1 + ((rank + round) % (zones - 1)).toInt()) % zones
 
 /** Orders [members] by a hash of their id and the pair of rounds. */
 private fun permuted(round: Long, members: List<Member>): List<Member> =
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/experiment/ExchangeFleet.kt
@@ -0,0 +1,217 @@
+/*
+ * A whole fleet that exchanges in memory, for measurements and tests. Member tables, plans and messages are the
+ * product's own. Rounds are synchronous: every message is composed from the state before the round.
+ */
+package org.primrosesill.experiment
+
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.apache.commons.rng.UniformRandomProvider
+import org.apache.commons.rng.simple.RandomSource
+import org.primrosesill.exchange.CompactExchange
+import org.primrosesill.exchange.ExchangeContent
+import org.primrosesill.exchange.ExchangeView
+import org.primrosesill.exchange.FULL_MESH_ROUTERS
+import org.primrosesill.exchange.PartTable
+import org.primrosesill.exchange.planExchanges
+import org.primrosesill.exchange.planProbes
+import org.primrosesill.generated.ExchangeMessage
+import org.primrosesill.generated.LoadReport
+import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
+import org.primrosesill.generated.RouterPart
+import org.primrosesill.generated.UpstreamState
+import org.primrosesill.membership.MemberChange
+import org.primrosesill.membership.MemberTable
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.RouterId
+import org.primrosesill.model.UpstreamId
+import java.util.Random
+import java.util.UUID
+
+/** Length of a round in milliseconds. A row and a column of the grid take one round each. */
+internal const val ROUND_MILLIS = 500L
+
+/**
+ * @param zones availability zones, to which the routers belong in turn
+ * @param upstreams upstreams of the whole fleet; each is polled by two routers
+ */
+internal class ExchangeFleet(val size: Int, val zones: Int, private val upstreams: Int, seed: Long) {
+    val random: UniformRandomProvider = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
+    var round = 3_400_000_000L
+        private set
+    val routers = MutableList(size) { ExchangeRouter(this, it) }
+
+    /** Whether messages from one router to another, by index, are lost. */
+    var cut: (Int, Int) -> Boolean = { _, _ -> false }
+
+    init {
+        val members = routers.map { it.members.self() }
+        val addresses = members.map { it.address }.toSet()
+        routers.forEach { router ->
+            router.members.updateVmList(addresses)
+            members.forEach { router.members.observe(it, nowMillis()) }
+        }
+    }
+
+    fun nowMillis(): Long = round * ROUND_MILLIS
+
+    fun running(): List<ExchangeRouter> = routers.filter { it.running }
+
+    /** Runs one round and delivers its messages in random order. */
+    fun step() {
+        round++
+        running().forEach { it.beat() }
+        val byAddress = routers.associateBy { it.address }
+        val exchanges =
+            running().flatMap { from ->
+                from.plan().map { (to, content) -> compose(from, byAddress.getValue(to), content) }
+            }
+        exchanges.shuffled(Random(random.nextLong())).forEach(::deliver)
+    }
+
+    /** Rounds until [done] holds, or null when it does not within [limit] rounds. */
+    fun roundsUntil(limit: Int, done: () -> Boolean): Int? = (1..limit).firstOrNull { step().let { done() } }
+
+    /** Starts a new incarnation at [index], which knows the others' addresses from the VM list only. */
+    fun restart(index: Int) {
+        routers[index] = ExchangeRouter(this, index)
+        routers[index].members.updateVmList(routers.map { it.address }.toSet())
+    }
+
+    /** The upstreams of which the router at [index] is one of the first [pollers], with made-up loads. */
+    fun polled(index: Int, pollers: Int): Map<UpstreamId, Int> =
+        (0 until upstreams)
+            .filter { upstream -> (0 until pollers).any { (upstream + it * zones) % size == index } }
+            .associate { UpstreamId("vm-$it") to ((it + round) % 40).toInt() }
+
+    private fun compose(from: ExchangeRouter, to: ExchangeRouter, content: ExchangeContent): ComposedExchange {
+        val request = from.compose(content)
+        return ComposedExchange(
+            from,
+            to,
+            request,
+            if (to.running) to.compose(content, request) else null,
+        )
+    }
+
+    private fun deliver(exchange: ComposedExchange) {
+        val (from, to, request, reply) = exchange
+        val sent = Json.encodeToString(request).length + requestHeaderBytes(to.address)
+        from.bytes += sent
+        if (reply == null || cut(from.index, to.index)) return
+        to.bytes += sent
+        to.take(request)
+        val returned = Json.encodeToString(reply).length + REPLY_HEADER_BYTES
+        to.bytes += returned
+        if (cut(to.index, from.index)) return
+        from.bytes += returned
+        from.take(reply)
+    }
+
+    private data class ComposedExchange(
+        val from: ExchangeRouter,
+        val to: ExchangeRouter,
+        val request: ExchangeMessage,
+        val reply: ExchangeMessage?,
+    )
+}
+
+/** One router of an [ExchangeFleet]. */
+internal class ExchangeRouter(private val fleet: ExchangeFleet, val index: Int) {
+    private val id = RouterId(UUID(fleet.random.nextLong(), fleet.random.nextLong()).toString())
+    val address = "10.${index % fleet.zones}.${index / 250}.${index % 250}:7001"
+    val members =
+        MemberTable(
+            Member(id, address, zoneId(), fleet.nowMillis(), fleet.round, MemberState.LIVE),
+            settingsPeers = emptySet(),
+            expectsVmList = true,
+        )
+    private val compact = CompactExchange(id)
+    private val parts = PartTable(id)
+    var configurationRevision = 22_000L
+    var running = true
+    var bytes = 0L
+
+    /** Times that a running router was reported lost here. */
+    var falseLosses = 0
+
+    fun zoneId() = AvailabilityZoneId("zone-${index % fleet.zones}")
+
+    fun beat() {
+        members.updateSelf(members.self().copy(heartbeat = fleet.round))
+        val runningAddresses = fleet.running().map { it.address }.toSet()
+        falseLosses +=
+            members.tick(fleet.nowMillis()).count { it is MemberChange.Lost && it.member.address in runningAddresses }
+        configurationRevision = heardRevision()
+    }
+
+    /** The highest configuration revision that this router has or was told of. */
+    fun heardRevision(): Long =
+        maxOf(
+            configurationRevision,
+            compact.newestConfiguration,
+            parts.newestConfiguration()?.configurationRevision ?: 0,
+        )
+
+    fun plan(): List<Pair<String, ExchangeContent>> {
+        val planned = planExchanges(fleet.round, id, members.live()).map { it.peer.address to it.content }
+        val known = planned.map { it.first }.toSet()
+        return planned +
+            (planProbes(fleet.round, members.silentAddresses()) - known).map { it to ExchangeContent.BETWEEN_ZONES }
+    }
+
+    fun compose(content: ExchangeContent, request: ExchangeMessage? = null): ExchangeMessage {
+        if (content != ExchangeContent.OWN_PART && members.live().size > FULL_MESH_ROUTERS) {
+            return compact.compose(view(), content, request)
+        }
+        val polled = fleet.polled(index, pollers = 2)
+        val part =
+            RouterPart(
+                members.self(),
+                configurationRevision,
+                inFlight = polled.mapKeys { it.key.value },
+                reports = polled.map { (upstream, load) -> report(upstream, load) },
+            )
+        return ExchangeMessage(fleet.round, listOf(part))
+    }
+
+    fun take(message: ExchangeMessage) {
+        compact.take(message).forEach { members.observe(it, fleet.nowMillis()) }
+        message.parts.forEach { parts.merge(it, fleet.nowMillis()) }
+    }
+
+    /** Upstreams whose load this router knows from others. */
+    fun knownLoads(): Int = compact.loads(fleet.round).size
+
+    /** Addresses of the routers that count as live here. */
+    fun liveAddresses(): Set<String> = members.live().map { it.address }.toSet()
+
+    private fun view() =
+        ExchangeView(
+            fleet.round,
+            members.self(),
+            members.live(),
+            configurationRevision,
+            fleet.polled(index, pollers = 1),
+        )
+
+    private fun report(upstream: UpstreamId, load: Int) =
+        LoadReport(
+            upstream,
+            UpstreamState.WARM,
+            running = load,
+            queued = 0,
+            capacity = 64,
+            reportedAtMillis = fleet.nowMillis(),
+        )
+}
+
+/** Bytes of the request line and headers that a minimal HTTP/1.1 client sends. */
+internal fun requestHeaderBytes(host: String): Int =
+    "POST /peer/v1/exchange HTTP/1.1\r\nHost: $host\r\nContent-Type: application/json\r\nContent-Length: 1234\r\n\r\n"
+        .length
+
+/** Bytes of the status line and headers that a minimal HTTP/1.1 server sends. */
+internal val REPLY_HEADER_BYTES: Int =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 1234\r\n\r\n".length
