Let routers that are ahead take turns in the catch-up

Cause: a router pulled missing documents from one fixed peer; when that peer had just died, a zone that operators took out kept its work until the peer was held for lost (seen under load: 18 chats at the zone's engine after 5 s). Change: the peers with a higher revision take turns. ProcessFaultTest shows the whole answer of a request that failed.

--- a/src/main/kotlin/org/primrosesill/command/RouterCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RouterCommand.kt
@@ -26,7 +26,10 @@
     private val peer by addressOption("--peer-address", "Where other routers reach this router.").required()
     private val operator by addressOption("--operator-address", "Status, metrics and health.").required()
     private val platform by addressOption("--platform-address", "The configuration service; none when left out.")
-    private val peers by addressOption("--peer", "Peer address of another router; can be repeated.").split(",").multiple()
+    private val peers by addressOption(
+        "--peer",
+        "Peer address of another router; can be repeated.",
+    ).split(",").multiple()
     private val events by option("--events", help = "File that event lines are appended to.").path(canBeDir = false)
     private val exchangeInterval by millis(
         "--exchange-interval",
--- a/src/main/kotlin/org/primrosesill/router/CatchUpLoop.kt
+++ b/src/main/kotlin/org/primrosesill/router/CatchUpLoop.kt
@@ -12,6 +12,8 @@
     private val client: PeerClient,
     private val currentMillis: () -> Long,
 ) {
+    private var turn = 0
+
     /** Pulls what is missing, page by page, and returns when this router has caught up or a peer did not answer. */
     suspend fun catchUp() {
         pullVmList()
@@ -21,7 +23,7 @@
     }
 
     private suspend fun pullPage(): Boolean {
-        val ahead = control.run { state.parts.newestConfiguration()?.takeIf { it.isAhead() } } ?: return false
+        val ahead = control.run { nextAhead() } ?: return false
         val since = control.run { state.documents.revision }
         val address = ahead.member.address
         val page = client.configuration(address, since).getOrNull() ?: return false
@@ -31,7 +33,11 @@
         }
     }
 
-    private fun RouterPart.isAhead(): Boolean = configurationRevision > state.documents.revision
+    /** The routers that are ahead take turns, since one of them may have died a moment ago. */
+    private fun nextAhead(): RouterPart? {
+        val ahead = state.parts.aheadOf(state.documents.revision)
+        return if (ahead.isEmpty()) null else ahead[Math.floorMod(turn++, ahead.size)]
+    }
 
     private suspend fun pullVmList() {
         val newest = control.run { state.parts.newestVmList() } ?: return
--- a/src/test/kotlin/org/primrosesill/process/ProcessFaultTest.kt
+++ b/src/test/kotlin/org/primrosesill/process/ProcessFaultTest.kt
@@ -43,7 +43,7 @@
         repeat(5) {
             val key = newKey()
             val answers = inParallel(site.routers) { site.book(it, key) }
-            expectThat(answers.map { it.status }).all { isContainedIn(listOf(201, 409, 503)) }
+            expectThat(answers.filter { it.status !in listOf(201, 409, 503) }).isEmpty()
             expectThat(retried(key)).isEqualTo(201)
             expectThat(executions(key)).isEqualTo(1)
         }
@@ -61,9 +61,8 @@
             site.routers[0].process.kill()
             site.routers[0].process.restart()
             site.awaitReady(listOf(site.routers[0]))
-            expectThat(
-                inParallel(site.routers) { site.chat(it, "chat while $mode") }.map { it.status },
-            ).all { isEqualTo(200) }
+            val chats = inParallel(site.routers) { site.chat(it, "chat while $mode") }
+            expectThat(chats.filter { it.status != 200 }).isEmpty()
             expectThat(revisions()).all { isEqualTo(revision) }
         }
         site.platformMode("normal")
@@ -111,21 +110,16 @@
     @Test
     @Order(5)
     fun `a zone that is taken out receives no new work after five seconds and no request fails`() {
-        val statuses = mutableListOf<Int>()
+        val answers = mutableListOf<SiteAnswer>()
         site.publishFleet(site.fleet("b"))
         val end = System.nanoTime() + 5_000_000_000
-        while (System.nanoTime() <
-            end
-        ) {
-            statuses += inParallel(site.routers) { site.chat(it, "chat ${statuses.size}") }.map { it.status }
+        while (System.nanoTime() < end) {
+            answers += inParallel(site.routers) { site.chat(it, "chat ${answers.size}") }
         }
         val before = site.executions(site.engines[1], "request").size
-        repeat(10) { round ->
-            statuses +=
-                inParallel(site.routers) { site.chat(it, "later $round ${it.caller}") }.map { it.status }
-        }
+        repeat(10) { round -> answers += inParallel(site.routers) { site.chat(it, "later $round ${it.caller}") } }
         expectThat(site.executions(site.engines[1], "request").size).isEqualTo(before)
-        expectThat(statuses).all { isEqualTo(200) }
+        expectThat(answers.filter { it.status != 200 }).isEmpty()
         site.publishFleet(site.fleet())
     }
 
