Give a silent customer its burst, but not after a change of owners

Cause: an account that was created anew held at most two seconds of the rate, so a customer with a low rate and a large burst was refused within its contract. Change: an account starts with what has accrued since the last loss of a router. A stand-in without a reserve says 'unavailable' and not 'rate'.

--- a/src/main/kotlin/org/primrosesill/limit/CustomerOwner.kt
+++ b/src/main/kotlin/org/primrosesill/limit/CustomerOwner.kt
@@ -40,22 +40,34 @@
     private val accounts = HashMap<CustomerId, CustomerAccount>()
     private var startedAtMillis = startedAtMillis
     private var lastTickMillis = startedAtMillis
+    private var lastLossMillis = startedAtMillis
 
     /** Answers [request] at [nowMillis]. */
     public fun grant(request: LeaseRequest, view: OwnerView, nowMillis: Long): LeaseReply {
         noticePause(nowMillis)
         val account =
-            accounts.getOrPut(request.customer) { CustomerAccount(view, nowMillis - startedAtMillis, nowMillis) }
+            accounts.getOrPut(request.customer) {
+                val level = if (view.standsIn) reserve(view, nowMillis - startedAtMillis) else saved(view, nowMillis)
+                CustomerAccount(view, level, nowMillis)
+            }
         return account.grant(request, view, nowMillis)
     }
 
+    /** What an idle customer has saved since this router can have become its owner, the burst included. */
+    private fun saved(view: OwnerView, nowMillis: Long): Double {
+        val rate = view.contract.requestsPerSecond * view.zoneFraction
+        val since = maxOf(startedAtMillis, lastLossMillis)
+        return (rate * (nowMillis - since) / 1_000).coerceIn(1.0, capacity(view.contract))
+    }
+
     /** Records what [router] showed in an exchange: its requests in flight by customer, without zero entries. */
     public fun observe(router: RouterId, inFlight: Map<CustomerId, Int>, nowMillis: Long) {
         for ((customer, account) in accounts) account.observe(router, inFlight[customer] ?: 0, nowMillis)
     }
 
-    /** Forgets the requests in flight of a router that is lost. */
-    public fun forget(router: RouterId) {
+    /** Forgets a router that is lost or leaving. Its customers may be this router's from now on, without a burst. */
+    public fun forget(router: RouterId, nowMillis: Long = lastTickMillis) {
+        lastLossMillis = nowMillis
         accounts.values.forEach { it.forget(router) }
     }
 
@@ -76,8 +88,8 @@
 }
 
 /** The shares of one customer. */
-private class CustomerAccount(view: OwnerView, ageMillis: Long, nowMillis: Long) {
-    private val requests = StartBucket(reserve(view, ageMillis), nowMillis)
+private class CustomerAccount(view: OwnerView, level: Double, nowMillis: Long) {
+    private val requests = StartBucket(level, nowMillis)
     private val tokens = StartBucket(view.contract.tokensPerSecond ?: 0.0, nowMillis)
     private val uses = HashMap<RouterId, RouterUse>()
     var lastRequestMillis = nowMillis
@@ -88,25 +100,21 @@
         lastRequestMillis = nowMillis
         val contract = view.contract
         val rate = contract.requestsPerSecond * if (view.standsIn) STAND_IN_FRACTION else view.zoneFraction
-        val capacity =
-            if (view.standsIn) {
-                reserveLimit(view)
-            } else {
-                contract.burst +
-                    contract.requestsPerSecond * HELD_SECONDS
-            }
+        val capacity = if (view.standsIn) reserveLimit(view) else capacity(contract)
         requests.refill(rate, capacity, nowMillis)
         requests.level =
             minOf(capacity, requests.level + request.unused.coerceIn(0, contract.requestsPerSecond.toInt()))
         val use = uses.getOrPut(request.router) { RouterUse() }
         use.report(request.inFlight, nowMillis)
         chargeTokens(request, view, nowMillis)
-        val reason = refusal(view, nowMillis)
-        if (reason != null) return LeaseReply(0, 0, retryMillis(reason, rate, contract), reason)
+        refusal(view, nowMillis)?.let { return LeaseReply(0, 0, retryMillis(it, rate, contract), it) }
         val granted = share(request, use, rate, contract, view, nowMillis)
         if (granted == 0) {
             if (request.wanted > 0) lastShortMillis = nowMillis
-            return LeaseReply(0, 0, requests.millisUntilOne(rate), LimitReason.RATE)
+            // A stand-in without a reserve does not know whether the customer is over its rate.
+            val unknown = view.standsIn
+            val reason = if (unknown) LimitReason.UNAVAILABLE else LimitReason.RATE
+            return LeaseReply(0, 0, if (unknown) LEASE_MILLIS else requests.millisUntilOne(rate), reason)
         }
         requests.level -= granted
         use.granted(granted, nowMillis)
@@ -180,6 +188,8 @@
 /** Sums of fractions of one request fall short of whole numbers by rounding. */
 private const val ROUNDING = 1e-6
 
+private fun capacity(contract: Contract): Double = contract.burst + contract.requestsPerSecond * HELD_SECONDS
+
 private fun reserveLimit(view: OwnerView): Double =
     maxOf(1.0, view.contract.requestsPerSecond * RESERVE_SECONDS * view.zoneFraction)
 
--- a/src/test/kotlin/org/primrosesill/limit/CustomerSharesTest.kt
+++ b/src/test/kotlin/org/primrosesill/limit/CustomerSharesTest.kt
@@ -73,6 +73,20 @@
         expectThat(granted).isGreaterThanOrEqualTo(57)
     }
 
+    /** A contract with a large burst and a low rate must give the burst to a customer that was silent, but only once. */
+    @TestFactory
+    fun `a silent customer with a burst of 50 may start`() =
+        listOf(Triple("50 at its owner", -1L, 50), Triple("one at a router that has just taken over", 600_000L, 1))
+            .map { (name, lossMillis, expected) ->
+                dynamicTest(name) {
+                    val owner = CustomerOwner(0)
+                    (0L..600_000L step 1_000).forEach(owner::tick)
+                    if (lossMillis >= 0) owner.forget(RouterId("lost"), lossMillis)
+                    val view = OwnerView(contract(rate = 1.0, burst = 50))
+                    expectThat((1..60).count { ask(owner, view, "r", 600_000).granted == 1 }).isEqualTo(expected)
+                }
+            }
+
     @Test
     fun `generated tokens over the limit refuse the next requests until they are paid off`() {
         val owner = CustomerOwner(0)
