--- a/src/main/kotlin/org/primrosesill/configuration/DocumentResults.kt
+++ b/src/main/kotlin/org/primrosesill/configuration/DocumentResults.kt
@@ -17,13 +17,11 @@
  * The result of one page.
  *
  * @property ignored entries that are not newer than what is known
- * @property fleetChanges zones and VMs that the page took out of service or brought back
  */
 public data class ApplyReport(
     val accepted: List<AcceptedDocument> = emptyList(),
     val refused: List<RefusedEntry> = emptyList(),
     val ignored: Int = 0,
-    val fleetChanges: List<FleetChange> = emptyList(),
 )
 
 /** Why a whole page was refused. Such a page comes from a faulty sender and changes nothing. */
--- a/src/main/kotlin/org/primrosesill/configuration/DocumentStore.kt
+++ b/src/main/kotlin/org/primrosesill/configuration/DocumentStore.kt
@@ -52,7 +52,6 @@
         since: Long = revision,
     ): Either<PageError, ApplyReport> {
         faultOf(page)?.let { return it.left() }
-        val fleetBefore = snapshot.fleet
         val accepted = ArrayList<AcceptedDocument>()
         val refused = ArrayList<RefusedEntry>()
         for (entry in page.propertyEntries) {
@@ -68,9 +67,8 @@
         if (accepted.isNotEmpty()) snapshot = buildSnapshot(covered)
         if (covered > revision) snapshot = snapshot.copy(revision = covered)
         if (accepted.isNotEmpty() || refused.isNotEmpty()) changedAtMillis = nowMillis
-        val changes = snapshot.fleet?.takeIf { it !== fleetBefore }?.let { fleetChanges(fleetBefore, it) }
         val ignored = page.propertyEntries.size - accepted.size - refused.size
-        return ApplyReport(accepted, refused, ignored, changes.orEmpty()).right()
+        return ApplyReport(accepted, refused, ignored).right()
     }
 
     /**
--- a/src/main/kotlin/org/primrosesill/configuration/ReaderElection.kt
+++ b/src/main/kotlin/org/primrosesill/configuration/ReaderElection.kt
@@ -56,16 +56,24 @@
                 .take(READERS_PER_ZONE)
 
         /**
-         * Returns the peer to pull missing documents from, or null when no peer is ahead of [ownRevision]. Routers pick
-         * different ones of the peers with the highest revision, so that no single peer serves all of them.
+         * Returns the peer to pull missing documents from, or null when no peer is ahead of [ownRevision]. Routers
+         * prefer different ones of the peers with the highest revision, so that no single peer serves all of them.
+         * A higher [turn] takes the next peer, since the first one may have died a moment ago.
          */
-        public fun catchUpFrom(own: RouterId, ownRevision: Long, peers: Collection<PeerRevision>): RouterId? {
-            val highest = peers.maxOfOrNull { it.revision } ?: return null
-            if (highest <= ownRevision) return null
-            return peers
-                .filter { it.revision == highest }
-                .maxWithOrNull(compareBy<PeerRevision> { weight(AvailabilityZoneId(own.value), it.router) })
-                ?.router
+        public fun catchUpFrom(
+            own: RouterId,
+            ownRevision: Long,
+            peers: Collection<PeerRevision>,
+            turn: Int = 0,
+        ): RouterId? {
+            val ahead =
+                peers
+                    .filter { it.revision > ownRevision }
+                    .sortedWith(
+                        compareByDescending<PeerRevision> { it.revision }
+                            .thenByDescending { weight(AvailabilityZoneId(own.value), it.router) },
+                    )
+            return if (ahead.isEmpty()) null else ahead[Math.floorMod(turn, ahead.size)].router
         }
 
         private fun weight(zone: AvailabilityZoneId, router: RouterId): Long =
--- a/src/main/kotlin/org/primrosesill/exchange/PartTable.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/PartTable.kt
@@ -50,12 +50,8 @@
     /** The newest load report of each upstream that any router polled. */
     public fun reports(): Map<UpstreamId, LoadReport> = reports.toMap()
 
-    /** The parts of routers that show a configuration revision above [revision], in order of their ids. */
-    public fun aheadOf(revision: Long): List<RouterPart> =
-        parts.values
-            .map { it.part }
-            .filter { it.configurationRevision > revision }
-            .sortedBy { it.member.router.value }
+    /** The newest part of each router that was heard. */
+    public fun parts(): List<RouterPart> = parts.values.map { it.part }
 
     /** The part with the newest VM list, or null when nobody was heard. */
     public fun newestVmList(): RouterPart? = parts.values.map { it.part }.maxByOrNull { it.vmListRevision }
