--- a/src/main/kotlin/org/primrosesill/experiment/RoutingPolicy.kt
+++ b/src/main/kotlin/org/primrosesill/experiment/RoutingPolicy.kt
@@ -33,15 +33,8 @@
     object : RoutingPolicy {
         override fun choose(router: Int, prompt: TrialPrompt, excluded: Set<Int>, nowMillis: Long): TrialChoice? {
             val eligible = fleet.eligible(excluded)
-            return if (eligible.isEmpty()) {
-                null
-            } else {
-                pick(
-                    router,
-                    prompt,
-                    eligible,
-                )?.let { TrialChoice(it.index, false) }
-            }
+            if (eligible.isEmpty()) return null
+            return pick(router, prompt, eligible)?.let { TrialChoice(it.index, slotNeeded = false) }
         }
     }
 
--- a/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberTable.kt
@@ -178,7 +178,7 @@
 
     private fun forget(nowMillis: Long) {
         val unproven = entries.values.count { it.lostAtMillis != null && !it.replaced }
-        // While a large part of the fleet is silent, it is more likely cut off than ended, and stays remembered.
+        // A large part of the fleet that is silent is more likely cut off than ended, and stays remembered.
         val keepUnproven = unproven * 2 > entries.size - unproven
         entries.values.removeIf { entry ->
             val lostAt = entry.lostAtMillis ?: return@removeIf false
--- a/src/main/kotlin/org/primrosesill/request/RequestFlow.kt
+++ b/src/main/kotlin/org/primrosesill/request/RequestFlow.kt
@@ -149,10 +149,9 @@
         }
 
         private suspend fun run(accepted: Work): Outcome {
-            if (accepted.key !=
-                null
-            ) {
-                return withContext(NonCancellable) { answer(keyedCalls.run(accepted, accepted.key, caller)) }
+            val key = accepted.key
+            if (key != null) {
+                return withContext(NonCancellable) { answer(keyedCalls.run(accepted, key, caller)) }
             }
             return attempts.run(accepted) { upstream, call, answer ->
                 if (accepted.streaming && answer.status == 200) {
