Compare the product with its baselines, and with itself only where homes are used

Cause: 'fewer engines are over the bound than with any baseline' failed for 8 routers with equal figures (8.99, 6.16 and 6.98%): the policy 'without homes', which joined the list as a comparison, is the product itself up to nine routers. Change: it is left out there and stays a baseline at 48 routers; the four baselines and the bounds are unchanged.

--- a/src/test/kotlin/org/primrosesill/experiment/RoutingTrialTest.kt
+++ b/src/test/kotlin/org/primrosesill/experiment/RoutingTrialTest.kt
@@ -43,7 +43,9 @@
     fun `fewer engines are over the bound than with any baseline`(): List<DynamicTest> =
         listOf(PoolSize(8, 13, 15.0), PoolSize(48, 13, 15.0), PoolSize(48, 128, 15.0)).flatMap { size ->
             eachSeed("$size") { seed ->
-                val results = measure(seed, size, churn = true).associateBy { it.policy }
+                // Up to nine routers the product itself works without homes, and the two results are one and the same.
+                val compared = TrialPolicy.entries.filter { size.routers > 9 || it != TrialPolicy.WITHOUT_HOMES }
+                val results = measure(seed, size, churn = true, compared).associateBy { it.policy }
                 val product = results.getValue(TrialPolicy.PRODUCT.label)
                 val baselines = results.values - product - results.getValue(TrialPolicy.ORACLE.label)
                 expectThat(product.overBoundPercent).isLessThan(baselines.minOf { it.overBoundPercent })
