--- a/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
+++ b/src/main/kotlin/org/primrosesill/membership/MemberSnapshot.kt
@@ -40,6 +40,12 @@
     public fun heardAtMillis(router: RouterId): Long =
         if (router == self.router) Long.MAX_VALUE else heardAt[router] ?: Long.MIN_VALUE
 
+    /** Routers that were heard at [instantMillis] or later, with those that are leaving. */
+    public fun heardSince(instantMillis: Long): List<Member> = live.filter { heardAtMillis(it.router) >= instantMillis }
+
+    /** The peer address of a live router, or null for any other. */
+    public fun addressOf(router: RouterId): String? = live.firstOrNull { it.router == router }?.address
+
     /**
      * All router incarnations that may have been alive at [instantMillis] or later, in order of their ids. A listed
      * address from which no router was heard stands in the result as one router with an id made from the address.
--- a/src/main/kotlin/org/primrosesill/router/HomeReservations.kt
+++ b/src/main/kotlin/org/primrosesill/router/HomeReservations.kt
@@ -34,12 +34,11 @@
     private val currentMillis: () -> Long,
 ) : Reservations {
     override suspend fun reserve(pool: PoolId, upstream: UpstreamView): Reservation {
-        if (views.members
+        val routers =
+            views.members
                 .get()
-                .live.size <= ROUTERS_WITHOUT_HOMES
-        ) {
-            return Reservation.UNAVAILABLE
-        }
+                .live.size
+        if (routers <= ROUTERS_WITHOUT_HOMES) return Reservation.UNAVAILABLE
         val home = homeOf(upstream) ?: return Reservation.UNAVAILABLE
         val others = (selector.inFlight()[upstream.id] ?: 1) - 1
         val request = ReservationRequest(pool, upstream.id, own, others, selector.poolTotal(pool))
@@ -60,22 +59,12 @@
     private suspend fun ask(home: RouterId, request: ReservationRequest): ReservationReply? =
         views.members
             .get()
-            .live
-            .firstOrNull { it.router == home }
-            ?.let { peers.reserve(it.address, request).getOrNull() }
+            .addressOf(home)
+            ?.let { peers.reserve(it, request).getOrNull() }
 
     private fun homeOf(upstream: UpstreamView): RouterId? {
-        val members = views.members.get()
-        val heardSince = currentMillis() - OWNER_UNHEARD_MILLIS
-        val reachable =
-            members.live.filter { it.state == MemberState.LIVE && members.heardAtMillis(it.router) >= heardSince }
-        return upstreamHome(
-            upstream.id,
-            upstream.availabilityZone,
-            reachable.associate {
-                it.router to
-                    it.availabilityZone
-            },
-        )
+        val heard = views.members.get().heardSince(currentMillis() - OWNER_UNHEARD_MILLIS)
+        val reachable = heard.filter { it.state == MemberState.LIVE }.associate { it.router to it.availabilityZone }
+        return upstreamHome(upstream.id, upstream.availabilityZone, reachable)
     }
 }
--- a/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
@@ -11,6 +11,7 @@
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
 import org.primrosesill.generated.LimitReason
+import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
 import org.primrosesill.generated.PoolKind
 import org.primrosesill.generated.RouterSettings
@@ -74,20 +75,14 @@
     private suspend fun forward(router: RouterId, request: LeaseRequest): LeaseReply? =
         views.members
             .get()
-            .live
-            .firstOrNull { it.router == router }
-            ?.let { peers.lease(it.address, request).getOrNull() }
+            .addressOf(router)
+            ?.let { peers.lease(it, request).getOrNull() }
 
     private fun firstOwner(customer: CustomerId): RouterId? = owners(customer).firstOrNull()
 
     /** A router that is stopping hands its customers over at once, and a silent one is passed over early. */
     private fun owners(customer: CustomerId): List<RouterId> {
-        val heardSince = currentMillis() - OWNER_UNHEARD_MILLIS
-        val members = views.members.get()
-        val staying =
-            members.live
-                .filter { it.state == MemberState.LIVE && members.heardAtMillis(it.router) >= heardSince }
-                .map { it.router }
+        val staying = heard(views.members.get()).filter { it.state == MemberState.LIVE }.map { it.router }
         return ownerOrder(customer, staying.ifEmpty { listOf(own) })
     }
 
@@ -98,11 +93,12 @@
                 .orEmpty()
                 .filter { !it.outOfService }
                 .map { it.id }
-        val heardSince = currentMillis() - OWNER_UNHEARD_MILLIS
-        val seen = members.live.filter { members.heardAtMillis(it.router) >= heardSince }
-        return visibleZoneFraction(expected, seen.mapTo(HashSet()) { it.availabilityZone })
+        return visibleZoneFraction(expected, heard(members).mapTo(HashSet()) { it.availabilityZone })
     }
 
+    private fun heard(members: MemberSnapshot): List<Member> =
+        members.heardSince(currentMillis() - OWNER_UNHEARD_MILLIS)
+
     private companion object {
         val NO_CONTRACT = LeaseReply(0, 0, LEASE_MILLIS, LimitReason.UNAVAILABLE)
     }
