--- a/src/main/kotlin/org/primrosesill/command/RootCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RootCommand.kt
@@ -13,6 +13,7 @@
 
 private val subcommands: List<() -> CliktCommand> =
     listOf(
+        ::GatewayCommand,
         ::RouterCommand,
         ::CheckCommand,
         ::StatusCommand,
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -0,0 +1,99 @@
+/*
+ * Hands the answer of an upstream to the caller. Plain answers are read to their end first, so that a broken one can still
+ * be replaced; streams pass event by event, and only whole events, so that one can go on at another upstream.
+ */
+package org.primrosesill.forwarding
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.primrosesill.answer.EventStreamParser
+import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.request.BodyPart
+import org.primrosesill.request.UpstreamAnswer
+import org.primrosesill.request.UpstreamBody
+import org.primrosesill.route.RouteKind
+import java.io.ByteArrayOutputStream
+
+internal class AnswerRelay(private val dependencies: ForwarderDependencies) {
+    private val protocol = dependencies.protocol
+
+    suspend fun deliver(
+        job: ForwardingJob,
+        upstream: KnownUpstream,
+        answer: UpstreamAnswer,
+        caller: OutboundAnswer,
+    ): AttemptEnd {
+        val description = protocol.describe(answer.status, answer.headers)
+        val success = answer.status in 200..299
+        return when {
+            description.notRun -> AttemptEnd.NotRun("status ${answer.status}")
+            description.encoded -> AttemptEnd.Unknown("the body is encoded")
+            !description.signed -> AttemptEnd.Unknown("status ${answer.status} without a signature")
+            success && job.route.kind == RouteKind.STREAM -> stream(job, answer, caller)
+            else -> plain(job, upstream, answer, caller)
+        }
+    }
+
+    private suspend fun plain(
+        job: ForwardingJob,
+        upstream: KnownUpstream,
+        answer: UpstreamAnswer,
+        caller: OutboundAnswer,
+    ): AttemptEnd {
+        val buffer = ByteArrayOutputStream()
+        val end =
+            withTimeoutOrNull(job.timeLeft()) { fill(buffer, answer.body) } ?: BodyPart.Cut("the deadline passed")
+        if (end is BodyPart.Cut) {
+            return AttemptEnd
+                .Unknown(
+                    end.reason,
+                ).also { dependencies.activity.failed(upstream.id) }
+        }
+        // These statuses promise that the request did not run, which the upstream does not say.
+        if (answer.status in PROMISING_STATUSES) return AttemptEnd.Unknown("status ${answer.status} without a promise")
+        if (caller.started) return AttemptEnd.Cut("the stream went on with status ${answer.status}")
+        if (answer.status >= 500 && job.route.idempotent) return AttemptEnd.Unknown("status ${answer.status}")
+        dependencies.activity.succeeded(upstream.id)
+        caller.respond(headOf(answer), buffer.toByteArray())
+        return AttemptEnd.Delivered(answer.status)
+    }
+
+    private suspend fun fill(buffer: ByteArrayOutputStream, body: UpstreamBody): BodyPart {
+        while (true) {
+            val part = body.next()
+            if (part !is BodyPart.Bytes) return part
+            buffer.write(part.bytes)
+        }
+    }
+
+    private suspend fun stream(job: ForwardingJob, answer: UpstreamAnswer, caller: OutboundAnswer): AttemptEnd {
+        val parser = EventStreamParser()
+        while (true) {
+            val part =
+                withTimeoutOrNull(job.timeLeft()) { answer.body.next() } ?: BodyPart.Cut("the deadline passed")
+            when (part) {
+                is BodyPart.Bytes ->
+                    for (event in parser.feed(part.bytes)) {
+                        if (!caller.started) caller.start(headOf(answer))
+                        event.id?.let { job.lastEventId = it }
+                        caller.write(event.bytes)
+                    }
+                is BodyPart.Cut -> return broken(job, caller, part.reason)
+                BodyPart.End -> {
+                    if (!caller.started) caller.start(headOf(answer))
+                    caller.finish()
+                    return AttemptEnd.Delivered(answer.status)
+                }
+            }
+        }
+    }
+
+    private fun broken(job: ForwardingJob, caller: OutboundAnswer, reason: String): AttemptEnd =
+        if (caller.started && !job.route.resumable) AttemptEnd.Cut(reason) else AttemptEnd.Unknown(reason)
+
+    private fun headOf(answer: UpstreamAnswer) =
+        OutboundHead(answer.status, protocol.fieldsForCaller(answer.headers), answer.reason)
+
+    private companion object {
+        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -0,0 +1,145 @@
+/*
+ * The attempts of one request: which upstream gets it, and whether it may be sent to another one after a failure.
+ */
+package org.primrosesill.forwarding
+
+import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.generated.EventType
+import org.primrosesill.model.Failure
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.placement.PlacementRequest
+import org.primrosesill.placement.PlacementResult
+import org.primrosesill.request.ConnectionUse
+import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.UpstreamCall
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How an attempt ended. */
+internal sealed interface AttemptEnd {
+    /** The caller has its whole answer. */
+    class Delivered(val status: Int) : AttemptEnd
+
+    /** The upstream did not run the request. */
+    class NotRun(val reason: String) : AttemptEnd
+
+    /** The upstream may have run the request, and the caller has nothing, or a stream that may go on elsewhere. */
+    class Unknown(val reason: String) : AttemptEnd
+
+    /** The caller has a part of an answer that cannot be completed. */
+    class Cut(val reason: String) : AttemptEnd
+}
+
+internal class AttemptLoop(private val dependencies: ForwarderDependencies) {
+    private val relay = AnswerRelay(dependencies)
+
+    /** Sends [job] until an attempt answers it, and returns the failure if none did. */
+    suspend fun run(job: ForwardingJob, answer: OutboundAnswer): Failure? {
+        val excluded = HashSet<UpstreamId>()
+        var runs = 0
+        var sends = 0
+        var unknown: Failure? = null
+        while (true) {
+            if (!job.timeLeft().isPositive()) return unknown ?: Failure.NoUpstream(job.pool, "no time is left")
+            if (sends > 0 && !dependencies.retries.tryTake(job.pool)) return unknown ?: overRetryBudget(job)
+            val upstream =
+                when (val placed = place(job, excluded)) {
+                    is PlacementResult.Chosen -> placed.upstream
+                    is PlacementResult.Refused ->
+                        return unknown ?: Failure.NoUpstream(job.pool, placed.reason, placed.retryAfter)
+                }
+            excluded += upstream.id
+            val end = attempt(job, upstream, answer)
+            record(job, upstream, end)
+            when (end) {
+                is AttemptEnd.Delivered -> return null
+                is AttemptEnd.Cut -> return Failure.AnswerCut(upstream.id, end.reason)
+                is AttemptEnd.NotRun -> if (++sends >= MAXIMUM_SENDS) return unknown ?: refused(upstream, end)
+                is AttemptEnd.Unknown -> {
+                    unknown = outcomeUnknown(job, upstream, end)
+                    sends++
+                    runs++
+                    if (!job.route.idempotent || runs >= job.route.maximumAttempts) return unknown
+                }
+            }
+        }
+    }
+
+    private fun place(job: ForwardingJob, excluded: Set<UpstreamId>): PlacementResult {
+        val request = PlacementRequest(job.pool, job.description.prompt, excluded)
+        return dependencies.placement.choose(request, dependencies.view())
+    }
+
+    private suspend fun attempt(job: ForwardingJob, upstream: KnownUpstream, answer: OutboundAnswer): AttemptEnd {
+        val activity = dependencies.activity
+        activity.started(upstream.id)
+        try {
+            val result =
+                dependencies.client.exchange(
+                    callTo(job, upstream),
+                ) { relay.deliver(job, upstream, it, answer) }
+            return when (result) {
+                is ExchangeResult.Answered -> result.value
+                is ExchangeResult.NotSent -> AttemptEnd.NotRun(result.reason).also { activity.failed(upstream.id) }
+                is ExchangeResult.Broken -> AttemptEnd.Unknown(result.reason).also { activity.failed(upstream.id) }
+                ExchangeResult.TimedOut -> AttemptEnd.Unknown("no answer in time").also { activity.failed(upstream.id) }
+            }
+        } finally {
+            activity.ended(upstream.id)
+        }
+    }
+
+    private fun callTo(job: ForwardingJob, upstream: KnownUpstream): UpstreamCall {
+        val order =
+            UpstreamOrder(upstream.id, job.account?.customer, job.timeLeft(), job.urgency, job.lastEventId)
+        val request = job.request
+        return UpstreamCall(
+            upstream = upstream.id,
+            address = upstream.registration.address,
+            method = request.method,
+            path = request.target,
+            requestId =
+                job.description.id
+                    ?.value
+                    .orEmpty(),
+            headers = dependencies.protocol.fieldsForUpstream(request, order),
+            body = request.body.takeIf { it.isNotEmpty() || "Content-Length" in request.headers },
+            timeout = job.timeLeft().coerceAtLeast(1.milliseconds),
+            host = request.headers["Host"].orEmpty(),
+            connection = if (job.route.idempotent) ConnectionUse.Kept(MAXIMUM_IDLE) else ConnectionUse.Fresh,
+            isAnswer = { dependencies.protocol.belongsTo(job.description.id, it) },
+        )
+    }
+
+    private fun outcomeUnknown(job: ForwardingJob, upstream: KnownUpstream, end: AttemptEnd.Unknown): Failure =
+        if (job.timeLeft().isPositive()) {
+            Failure.OutcomeUnknown(upstream.id, end.reason)
+        } else {
+            Failure.DeadlineExceeded(upstream.id, job.route.timeout)
+        }
+
+    private fun refused(upstream: KnownUpstream, end: AttemptEnd.NotRun) =
+        Failure.UpstreamRefused(upstream.id, end.reason, RETRY_AFTER)
+
+    private fun overRetryBudget(job: ForwardingJob) =
+        Failure.NoUpstream(job.pool, "the retry budget is used up", RETRY_AFTER)
+
+    private fun record(job: ForwardingJob, upstream: KnownUpstream, end: AttemptEnd) {
+        val id = job.description.id
+        when (end) {
+            is AttemptEnd.Delivered ->
+                dependencies.events.record(EventType.REQUEST_FINISHED, id, upstream.id, "status ${end.status}")
+            is AttemptEnd.NotRun ->
+                dependencies.events.record(EventType.REQUEST_RETRIED, id, upstream.id, "not run: ${end.reason}")
+            is AttemptEnd.Unknown ->
+                dependencies.events.record(EventType.OUTCOME_UNKNOWN, id, upstream.id, end.reason)
+            is AttemptEnd.Cut -> dependencies.events.record(EventType.ANSWER_CUT, id, upstream.id, end.reason)
+        }
+    }
+
+    private companion object {
+        /** Sends of one request that upstreams refused to run. */
+        const val MAXIMUM_SENDS = 3
+        val MAXIMUM_IDLE = 4_000.milliseconds
+        val RETRY_AFTER = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -0,0 +1,94 @@
+/*
+ * The path of one request that is passed on: route, account, attempts, answer.
+ */
+package org.primrosesill.forwarding
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensureNotNull
+import kotlinx.coroutines.CancellationException
+import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.generated.EventType
+import org.primrosesill.model.Failure
+import org.primrosesill.model.PoolId
+import org.primrosesill.placement.Placement
+import org.primrosesill.placement.UpstreamActivity
+import org.primrosesill.request.UpstreamClient
+import org.primrosesill.route.ClientAccount
+import org.primrosesill.route.Route
+import org.primrosesill.route.ServingConfiguration
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** What the path of a request works with. */
+public class ForwarderDependencies(
+    public val view: () -> DirectoryView,
+    public val protocol: ForwardingProtocol,
+    public val placement: Placement,
+    public val activity: UpstreamActivity,
+    public val retries: RetryAllowance,
+    public val client: UpstreamClient,
+    public val events: ForwardingEvents,
+    public val random: Random = Random.Default,
+)
+
+/** Returns the handler of requests that are passed on. */
+public fun forwarder(dependencies: ForwarderDependencies): RequestHandler = Forwarder(dependencies)
+
+private class Forwarder(private val dependencies: ForwarderDependencies) : RequestHandler {
+    private val attempts = AttemptLoop(dependencies)
+
+    override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
+        val description = dependencies.protocol.describe(request)
+        val job = accept(request, description).fold({ return refuse(answer, description, it) }, { it })
+        dependencies.retries.recordRequest(job.pool)
+        try {
+            attempts.run(job, answer)?.let { refuse(answer, description, it) }
+        } catch (exception: CancellationException) {
+            dependencies.events.record(EventType.REQUEST_FINISHED, description.id, null, "the caller left")
+            throw exception
+        }
+    }
+
+    private fun accept(request: InboundRequest, description: RequestDescription): Either<Failure, ForwardingJob> =
+        either {
+            val configuration = ensureNotNull(dependencies.view().configuration) { Failure.NotReady() }
+            val route = configuration.routes.find(request.headers["Host"], request.path)
+            ensureNotNull(route) { Failure.UnknownPath(request.path) }
+            val account = accountFor(configuration, route, description).bind()
+            val timeLeft = description.timeLeft
+            val allowed = if (timeLeft == null) route.timeout else minOf(timeLeft, route.timeout)
+            ForwardingJob(request, description, route, account, poolOf(route), request.arrivedAt + allowed)
+        }
+
+    private fun accountFor(
+        configuration: ServingConfiguration,
+        route: Route,
+        description: RequestDescription,
+    ): Either<Failure, ClientAccount?> =
+        either {
+            if (configuration.accounts == null || route.anonymous) return@either null
+            val account = description.credential?.let(configuration::accountOf)
+            ensureNotNull(account) { Failure.UnknownCustomer() }
+        }
+
+    private fun poolOf(route: Route): PoolId {
+        var point = dependencies.random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
+        for (target in route.targets) {
+            point -= target.weight
+            if (point < 0) return target.pool
+        }
+        return route.targets.last().pool
+    }
+
+    private suspend fun refuse(answer: OutboundAnswer, description: RequestDescription, failure: Failure) {
+        dependencies.events.record(EventType.REQUEST_REFUSED, description.id, null, failure.toString())
+        if (answer.started) return answer.abort()
+        answer.respond(refusalHead(failure, failure.retryAfter))
+    }
+
+    private fun refusalHead(failure: Failure, retryAfter: Duration?): OutboundHead {
+        val field = retryAfter?.let(dependencies.protocol::retryAfter)
+        return OutboundHead(failure.status, org.primrosesill.model.HeaderFields(listOfNotNull(field)))
+    }
+}
--- a/src/main/kotlin/org/primrosesill/http/JavaUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/JavaUpstreamClient.kt
@@ -9,6 +9,8 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.answer.bodyFraming
+import org.primrosesill.model.HeaderField
+import org.primrosesill.model.HeaderFields
 import org.primrosesill.request.ExchangeResult
 import org.primrosesill.request.UpstreamAnswer
 import org.primrosesill.request.UpstreamCall
@@ -86,9 +88,8 @@
         val publisher =
             call.body?.let(HttpRequest.BodyPublishers::ofByteArray) ?: HttpRequest.BodyPublishers.noBody()
         val builder = HttpRequest.newBuilder(URI("http://${call.address}${call.path}")).method(call.method, publisher)
-        call.headers.forEach(builder::setHeader)
+        call.headers.forEach { builder.setHeader(it.name, it.value) }
         return builder
-            .setHeader("X-Request-Id", call.requestId)
             .setHeader("Connection", "close")
             .build()
     }
@@ -104,8 +105,8 @@
     private fun answerOf(response: HttpResponse<JavaUpstreamBody>) =
         UpstreamAnswer(
             response.statusCode(),
-            response.headers().map().mapKeys { it.key.lowercase() },
-            response.body(),
+            HeaderFields(response.headers().map().flatMap { (name, values) -> values.map { HeaderField(name, it) } }),
+            body = response.body(),
         )
 }
 
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/platform/StoreConfiguration.kt
@@ -0,0 +1,90 @@
+/*
+ * The configuration as the platform's store holds it.
+ */
+package org.primrosesill.platform
+
+import arrow.core.Either
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.PoolId
+import org.primrosesill.route.CallerLimits
+import org.primrosesill.route.ClientAccount
+import org.primrosesill.route.ColdStart
+import org.primrosesill.route.EnginePool
+import org.primrosesill.route.PoolDefinition
+import org.primrosesill.route.Route
+import org.primrosesill.route.RouteKind
+import org.primrosesill.route.RouteTable
+import org.primrosesill.route.RouteTarget
+import org.primrosesill.route.ServingConfiguration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val routeKinds = mapOf("safe" to RouteKind.SAFE, "unsafe" to RouteKind.UNSAFE, "stream" to RouteKind.STREAM)
+
+internal fun readConfiguration(value: String): Either<WireError, ServingConfiguration> =
+    readWireObject(value, "configuration") { wire ->
+        ServingConfiguration(
+            version = wire.integer("version"),
+            routes = RouteTable(wire.objects("routes").map(::readRoute)),
+            pools = wire.objects("services").map(::readPool).associateBy { it.id },
+            limits = readLimits(wire.objectOf("limits")),
+            accounts = wire.optionalObjects("tenants")?.map(::readAccount),
+        )
+    }
+
+private fun readRoute(wire: WireObject): Route {
+    val kind = wire.text("type")
+    return Route(
+        name = wire.text("name"),
+        host = wire.text("host").lowercase(),
+        pathPrefix = wire.text("path_prefix"),
+        kind = routeKinds[kind] ?: wire.refuse("type", "'$kind'", "one of ${routeKinds.keys}"),
+        timeout = wire.integer("timeout_ms").milliseconds,
+        latencyTarget = wire.integer("target_latency_ms").milliseconds,
+        priority = wire.integer("priority").toInt(),
+        targets = readTargets(wire),
+        maximumAttempts = wire.integer("attempts").toInt(),
+        anonymous = wire.flag("anonymous"),
+        promptCached = wire.optionalFlag("affinity") ?: false,
+        resumable = wire.optionalFlag("resumable") ?: false,
+        pauseTarget = wire.optionalInteger("gap_target_ms")?.milliseconds,
+    )
+}
+
+/** A route names one service, or several with their weights. */
+private fun readTargets(wire: WireObject): List<RouteTarget> {
+    val split = wire.optionalObjects("backends").orEmpty()
+    if (split.isEmpty()) return listOf(RouteTarget(PoolId(wire.text("service")), weight = 1))
+    return split.map { RouteTarget(PoolId(it.text("service")), it.integer("weight").toInt()) }
+}
+
+private fun readPool(wire: WireObject): PoolDefinition {
+    val rate = wire.number("warmup_per_s")
+    val duration = wire.number("warmup_s").seconds
+    return PoolDefinition(
+        id = PoolId(wire.text("name")),
+        healthPath = wire.text("health_path"),
+        maximumConnections = wire.integer("max_conns").toInt(),
+        coldStart = if (rate > 0 && duration.isPositive()) ColdStart(duration, rate) else null,
+        engine =
+            wire.optionalObject("engine")?.let {
+                // "max_batch" counts requests; "kv_capacity" counts tokens.
+                EnginePool(it.integer("max_batch").toInt(), it.integer("kv_capacity"))
+            },
+    )
+}
+
+private fun readLimits(wire: WireObject) =
+    CallerLimits(
+        maximumHeaderBytes = wire.integer("max_header_bytes").toInt(),
+        maximumBodyBytes = wire.integer("max_body_bytes").toInt(),
+        headerTimeout = wire.integer("header_timeout_ms").milliseconds,
+        idleTimeout = wire.integer("idle_timeout_ms").milliseconds,
+    )
+
+private fun readAccount(wire: WireObject) =
+    ClientAccount(
+        CustomerId(wire.text("name")),
+        wire.texts("api_keys").toSet(),
+        wire.optionalInteger("priority")?.toInt(),
+    )
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/platform/StoreFeed.kt
@@ -0,0 +1,136 @@
+/*
+ * Reads and watches the platform's store over HTTP.
+ */
+package org.primrosesill.platform
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import org.primrosesill.discovery.FeedError
+import org.primrosesill.discovery.PlatformChanges
+import org.primrosesill.discovery.PlatformFeed
+import org.primrosesill.discovery.PlatformItem
+import org.primrosesill.discovery.PlatformListing
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.request.BodyPart
+import org.primrosesill.request.ConnectionUse
+import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.UpstreamAnswer
+import org.primrosesill.request.UpstreamCall
+import org.primrosesill.request.UpstreamClient
+import java.io.ByteArrayOutputStream
+import java.net.URLEncoder
+import java.util.Base64
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns the store at [address] as a source of items. */
+public fun storeFeed(address: String, client: UpstreamClient): PlatformFeed = StoreFeed(address, client)
+
+private class StoreFeed(private val address: String, private val client: UpstreamClient) : PlatformFeed {
+    override suspend fun list(): Either<FeedError, PlatformListing> {
+        val items = ArrayList<PlatformItem>()
+        var revision: Long? = null
+        for (prefix in listOf(OPERATOR_PREFIX, SERVER_PREFIX)) {
+            var after: String? = null
+            do {
+                val page = range(prefix, after).fold({ return it.left() }, { it })
+                items += page.items
+                // Pages are no snapshot: what changed after the first one is asked for again by the watch.
+                revision = revision ?: page.revision
+                after = page.items.lastOrNull()?.key
+            } while (page.more && after != null)
+        }
+        return PlatformListing(revision ?: 0, items).right()
+    }
+
+    override suspend fun watch(revision: Long, wait: Duration): Either<FeedError, PlatformChanges> {
+        // One watch covers both prefixes, since all keys in the store are the operator's and the servers'.
+        val path = "/api/kv-watch?path_prefix=&after=$revision&wait_ms=${wait.inWholeMilliseconds}"
+        return read(path, wait + ANSWER_TIMEOUT).flatMap { body ->
+            readWireObject(body, "watch") { wire ->
+                PlatformChanges(wire.integer("at"), wire.objects("events").map(::readItem))
+            }.mapLeft { FeedError.Malformed(it.toString()) }
+        }
+    }
+
+    private suspend fun range(prefix: String, after: String?): Either<FeedError, Page> {
+        val next = after?.let { "&after=${encoded(it)}" }.orEmpty()
+        return read("/api/kv-range?path_prefix=${encoded(prefix)}$next", ANSWER_TIMEOUT).flatMap { body ->
+            readWireObject(body, "range") { wire ->
+                Page(wire.integer("at"), wire.objects("entries").map(::readItem), wire.flag("has_more"))
+            }.mapLeft { FeedError.Malformed(it.toString()) }
+        }
+    }
+
+    private suspend fun read(path: String, timeout: Duration): Either<FeedError, String> {
+        val call =
+            UpstreamCall(
+                upstream = storeId,
+                address = address,
+                method = "GET",
+                path = path,
+                requestId = "",
+                headers = HeaderFields(),
+                body = null,
+                timeout = timeout,
+                connection = ConnectionUse.Kept(MAXIMUM_IDLE),
+            )
+        return when (val result = client.exchange(call, ::readBody)) {
+            is ExchangeResult.Answered -> result.value
+            is ExchangeResult.NotSent -> FeedError.Unavailable(result.reason).left()
+            is ExchangeResult.Broken -> FeedError.Unavailable(result.reason).left()
+            ExchangeResult.TimedOut -> FeedError.Unavailable("no answer within $timeout").left()
+        }
+    }
+
+    private suspend fun readBody(answer: UpstreamAnswer): Either<FeedError, String> {
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val part = answer.body.next()) {
+                is BodyPart.Bytes -> body.write(part.bytes)
+                is BodyPart.Cut -> return FeedError.Unavailable(part.reason).left()
+                BodyPart.End -> break
+            }
+            if (body.size() > MAXIMUM_ANSWER_BYTES) return FeedError.Malformed("the answer is too large").left()
+        }
+        return when (answer.status) {
+            200 -> body.toString(Charsets.UTF_8).right()
+            410 -> FeedError.HistoryGone("the changes are no longer kept").left()
+            else -> FeedError.Unavailable("status ${answer.status}").left()
+        }
+    }
+
+    private class Page(val revision: Long, val items: List<PlatformItem>, val more: Boolean)
+
+    private companion object {
+        val storeId = UpstreamId("store")
+        val ANSWER_TIMEOUT = 1.seconds
+        val MAXIMUM_IDLE = 500.milliseconds
+
+        /** A page has up to 1 MB of values, and base64 adds a third. */
+        const val MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024
+    }
+}
+
+private fun encoded(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
+
+/** An item, or an event of a watch. */
+private fun readItem(wire: WireObject): PlatformItem {
+    val deleted = wire.optionalFlag("deleted") ?: false
+    val value = if (deleted) null else decodeValue(wire)
+    return PlatformItem(wire.text("key"), wire.integer("revision"), value)
+}
+
+private fun decodeValue(wire: WireObject): String {
+    val text = wire.text("value")
+    return try {
+        // Bytes that are no text make an item that its decoder refuses, and the other items hold.
+        Base64.getDecoder().decode(text).toString(Charsets.UTF_8)
+    } catch (_: IllegalArgumentException) {
+        wire.refuse("value", "'${text.take(20)}'", "base64")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/platform/StoreItems.kt
@@ -0,0 +1,61 @@
+/*
+ * What the items of the platform's store hold. The store's names end here.
+ */
+package org.primrosesill.platform
+
+import org.primrosesill.discovery.PlatformFact
+import org.primrosesill.discovery.PlatformItem
+import org.primrosesill.discovery.PlatformItemDecoder
+import org.primrosesill.discovery.UpstreamRegistration
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.PoolId
+import org.primrosesill.model.UpstreamId
+import kotlin.time.Duration.Companion.milliseconds
+
+internal const val OPERATOR_PREFIX = "op/"
+internal const val SERVER_PREFIX = "servers/"
+private const val CONFIGURATION_KEY = "op/config"
+private const val EVACUATION_PREFIX = "op/evacuate/"
+
+/** Returns the decoder of the store's items. */
+public fun storeItemDecoder(): PlatformItemDecoder = StoreItemDecoder
+
+private object StoreItemDecoder : PlatformItemDecoder {
+    override fun decode(item: PlatformItem): PlatformFact {
+        val value = checkNotNull(item.value) { "a deleted item has no value" }
+        return when {
+            item.key == CONFIGURATION_KEY ->
+                readConfiguration(value).fold({ unusable(it) }, { PlatformFact.Configuration(it) })
+            item.key.startsWith(SERVER_PREFIX) ->
+                readRegistration(item.key, value).fold({ unusable(it) }, { PlatformFact.Upstream(it) })
+            else -> evacuatedZoneOf(item.key)?.let { PlatformFact.ZoneEvacuated(it) } ?: PlatformFact.Unrelated
+        }
+    }
+
+    override fun upstreamOf(key: String): UpstreamId? = suffixOf(key, SERVER_PREFIX)?.let(::UpstreamId)
+
+    override fun evacuatedZoneOf(key: String): AvailabilityZoneId? =
+        suffixOf(key, EVACUATION_PREFIX)?.let(::AvailabilityZoneId)
+
+    private fun suffixOf(key: String, prefix: String): String? =
+        key.takeIf { it.startsWith(prefix) }?.removePrefix(prefix)?.takeIf { it.isNotEmpty() }
+
+    private fun unusable(error: WireError) = PlatformFact.Unusable(error.toString())
+}
+
+private fun readRegistration(key: String, value: String) =
+    readWireObject(value, key) { entry ->
+        val state = entry.text("state")
+        if (state != "ready" && state != "draining") entry.refuse("state", "'$state'", "'ready' or 'draining'")
+        UpstreamRegistration(
+            id = UpstreamId(key.removePrefix(SERVER_PREFIX)),
+            pool = PoolId(entry.text("service")),
+            address = entry.text("address"),
+            availabilityZone = AvailabilityZoneId(entry.text("zone")),
+            softwareVersion = entry.optionalText("version").orEmpty(),
+            slots = entry.integer("max_batch").toInt(),
+            draining = state == "draining",
+            coldFor = (entry.optionalInteger("warmup_left_ms") ?: 0).milliseconds,
+            startedAtMillis = entry.optionalInteger("born"),
+        )
+    }
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/platform/UsersPlatform.kt
@@ -0,0 +1,20 @@
+/*
+ * The adapter between the users' platform and the product. Only this folder knows the platform's protocol.
+ */
+package org.primrosesill.platform
+
+import org.primrosesill.discovery.PlatformFeed
+import org.primrosesill.discovery.PlatformItemDecoder
+import org.primrosesill.forwarding.ForwardingProtocol
+import org.primrosesill.forwarding.PlatformAdapter
+import org.primrosesill.request.UpstreamClient
+
+/** Returns the adapter of the users' platform. */
+public fun usersPlatform(): PlatformAdapter =
+    object : PlatformAdapter {
+        override val protocol: ForwardingProtocol = wireHeaders()
+        override val itemDecoder: PlatformItemDecoder = storeItemDecoder()
+        override val readinessPath = "/api/readyz"
+
+        override fun feed(address: String, client: UpstreamClient): PlatformFeed = storeFeed(address, client)
+    }
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/platform/WireHeaders.kt
@@ -0,0 +1,142 @@
+/*
+ * The header fields of the platform's requests and answers. Their names end here.
+ */
+package org.primrosesill.platform
+
+import org.primrosesill.forwarding.AnswerDescription
+import org.primrosesill.forwarding.ForwardingProtocol
+import org.primrosesill.forwarding.InboundRequest
+import org.primrosesill.forwarding.RequestDescription
+import org.primrosesill.forwarding.UpstreamOrder
+import org.primrosesill.model.HeaderField
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.RequestId
+import org.primrosesill.placement.Prompt
+import org.primrosesill.placement.PromptPart
+import org.primrosesill.placement.ReportedLoad
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+private const val ATTEMPT_ID = "X-Attempt-Id"
+private const val DEADLINE = "X-Deadline-Ms"
+private const val TOKENS = "X-Token-Usage"
+private const val PROMPT_PARTS = "X-Prefix-Hash"
+private const val TENANT = "X-Tenant"
+private const val EXPECTED_INSTANCE = "X-Expect-Instance"
+private const val URGENCY = "X-Priority-Class"
+private const val LAST_EVENT_ID = "Last-Event-Id"
+private const val SIGNATURE = "X-Server-Signature"
+private const val NOT_RUN = "X-Not-Executed"
+private const val LOAD = "X-Server-Load"
+private const val AUTHORIZATION = "Authorization"
+private const val CREDENTIAL_SCHEME = "Bearer "
+private const val MISDIRECTED_STATUS = 421
+
+/** Fields that concern one connection, and framing, which is written anew for each connection. */
+private val connectionFields =
+    setOf(
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    )
+
+/** Fields with which the system directs upstreams. A caller's own would be taken for the system's. */
+private val reservedFields =
+    setOf(
+        "authorization",
+        "x-tenant",
+        "x-expect-instance",
+        "x-priority-class",
+        "x-expect-version",
+        "x-pin-ms",
+        "x-kv-retain",
+        "x-kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "x-deadline-ms",
+    )
+
+/** Returns the protocol of the platform's callers and upstreams. */
+public fun wireHeaders(): ForwardingProtocol = WireHeaders
+
+private object WireHeaders : ForwardingProtocol {
+    override fun describe(request: InboundRequest): RequestDescription =
+        RequestDescription(
+            id = request.headers[ATTEMPT_ID]?.let(::RequestId),
+            timeLeft = request.headers[DEADLINE]?.toLongOrNull()?.milliseconds,
+            credential =
+                request.headers[AUTHORIZATION]
+                    ?.takeIf { it.startsWith(CREDENTIAL_SCHEME, ignoreCase = true) }
+                    ?.substring(CREDENTIAL_SCHEME.length)
+                    ?.trim(),
+            prompt = readPrompt(request.headers),
+            lastEventId = request.headers[LAST_EVENT_ID],
+        )
+
+    override fun fieldsForUpstream(request: InboundRequest, order: UpstreamOrder): HeaderFields {
+        val replaced = if (order.lastEventId == null) reservedFields else reservedFields + LAST_EVENT_ID.lowercase()
+        val passed = passable(request.headers, replaced)
+        val fields = ArrayList<HeaderField>()
+        val millisLeft = order.timeLeft.inWholeMilliseconds.coerceAtLeast(0)
+        fields += HeaderField(DEADLINE, millisLeft.toString())
+        fields += HeaderField(EXPECTED_INSTANCE, order.upstream.value)
+        order.customer?.let { fields += HeaderField(TENANT, it.value) }
+        order.urgency?.let { fields += HeaderField(URGENCY, it.toString()) }
+        order.lastEventId?.let { fields += HeaderField(LAST_EVENT_ID, it) }
+        return passed + HeaderFields(fields)
+    }
+
+    override fun describe(status: Int, fields: HeaderFields): AnswerDescription =
+        AnswerDescription(
+            signed = SIGNATURE in fields,
+            notRun = NOT_RUN in fields || status == MISDIRECTED_STATUS,
+            otherInstance = status == MISDIRECTED_STATUS,
+            load = fields[LOAD]?.let(::readLoad),
+            encoded = fields["Content-Encoding"]?.equals("identity", ignoreCase = true) == false,
+        )
+
+    override fun belongsTo(id: RequestId?, fields: HeaderFields): Boolean {
+        val answered = fields.all(ATTEMPT_ID)
+        return answered.isEmpty() || answered.singleOrNull() == id?.value
+    }
+
+    override fun fieldsForCaller(fields: HeaderFields): HeaderFields = passable(fields, emptySet())
+
+    override fun retryAfter(delay: Duration): HeaderField =
+        HeaderField("Retry-After", "%.2f".format(java.util.Locale.ROOT, delay.toDouble(DurationUnit.SECONDS)))
+}
+
+private fun passable(fields: HeaderFields, dropped: Set<String>): HeaderFields {
+    val named = fields.all("Connection").flatMap { it.split(',') }.mapTo(HashSet()) { it.trim().lowercase() }
+    // A caller must not have the system's own fields removed on the way by naming them here.
+    named -=
+        setOf(ATTEMPT_ID.lowercase(), PROMPT_PARTS.lowercase(), TOKENS.lowercase(), "x-model", SIGNATURE.lowercase())
+    return fields.without { it.name.lowercase() in connectionFields + dropped + named }
+}
+
+/** `prompt tokens,most answer tokens` and `id:tokens,id:tokens`. A request without both is none for an engine. */
+private fun readPrompt(fields: HeaderFields): Prompt? {
+    val tokens = fields[TOKENS]?.split(',')?.map { it.trim().toIntOrNull() ?: return null } ?: return null
+    if (tokens.size != 2) return null
+    val parts =
+        fields[PROMPT_PARTS].orEmpty().split(',').filter { it.isNotBlank() }.map { entry ->
+            val count = entry.substringAfter(':', "").trim().toIntOrNull() ?: return null
+            PromptPart(entry.substringBefore(':').trim(), count)
+        }
+    return Prompt(parts, tokens[0], tokens[1])
+}
+
+private fun readLoad(text: String): ReportedLoad? {
+    val numbers = text.split(',').map { it.trim().toIntOrNull() ?: return null }
+    return if (numbers.size == 3) ReportedLoad(numbers[0], numbers[1], numbers[2]) else null
+}
--- a/src/main/kotlin/org/primrosesill/request/Attempts.kt
+++ b/src/main/kotlin/org/primrosesill/request/Attempts.kt
@@ -186,7 +186,7 @@
         deliver: Deliver,
     ): Outcome {
         dependencies.selector.recordConnection(upstream.id, succeeded = true)
-        if (!belongsTo(call.requestId, answer.headers["x-request-id"].orEmpty())) {
+        if (!belongsTo(call.requestId, answer.headers.all("x-request-id"))) {
             metrics.dropped(work.pool)
             record(EventType.ANSWER_DROPPED, work, "the answer carries another request id", upstream.id)
             return Outcome.Unknown(Failure.OutcomeUnknown(upstream.id, "the answer belongs to another request"))
--- a/src/main/kotlin/org/primrosesill/request/ChatStream.kt
+++ b/src/main/kotlin/org/primrosesill/request/ChatStream.kt
@@ -87,13 +87,14 @@
             method = "GET",
             path = streamPath(sent.requestId),
             requestId = sent.requestId,
-            headers = mapOf("last-event-id" to progress.lastId.toString()) + deadlineHeaders(work),
+            headers =
+                fieldsOf(sent.requestId, mapOf("last-event-id" to progress.lastId.toString()) + deadlineHeaders(work)),
             body = null,
             timeout = work.timeLeft(),
         )
 
     private suspend fun resumed(answer: UpstreamAnswer, writer: AnswerWriter): BodyPart {
-        if (!belongsTo(sent.requestId, answer.headers["x-request-id"].orEmpty())) {
+        if (!belongsTo(sent.requestId, answer.headers.all("x-request-id"))) {
             metrics.dropped(work.pool)
             val subject = EventSubject(work.id, upstream.id, work.contract.customer)
             dependencies.events.record(EventType.ANSWER_DROPPED, "the resumed answer has another request id", subject)
--- a/src/main/kotlin/org/primrosesill/request/HeaderRules.kt
+++ b/src/main/kotlin/org/primrosesill/request/HeaderRules.kt
@@ -8,6 +8,7 @@
 import arrow.core.left
 import arrow.core.right
 import org.primrosesill.model.Failure
+import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.RequestId
 import java.util.UUID
 
@@ -64,13 +65,13 @@
 }
 
 internal fun headersForUpstream(headers: Map<String, List<String>>): Map<String, String> =
-    pass(passedToUpstream, headers)
+    pass(passedToUpstream) { headers[it]?.firstOrNull() }
 
-internal fun headersForCaller(headers: Map<String, List<String>>): Map<String, String> = pass(passedToCaller, headers)
+internal fun headersForCaller(headers: HeaderFields): Map<String, String> = pass(passedToCaller) { headers[it] }
 
-private fun pass(names: List<String>, headers: Map<String, List<String>>): Map<String, String> =
+private fun pass(names: List<String>, value: (String) -> String?): Map<String, String> =
     names
-        .mapNotNull { name -> headers[name]?.firstOrNull()?.takeIf(::isPrintable)?.let { name to it } }
+        .mapNotNull { name -> value(name)?.takeIf(::isPrintable)?.let { name to it } }
         .toMap()
 
 private fun isVisible(value: String) = value.isNotEmpty() && value.all { it in '!'..'~' }
--- a/src/main/kotlin/org/primrosesill/request/UpstreamCalls.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamCalls.kt
@@ -3,12 +3,16 @@
  */
 package org.primrosesill.request
 
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.toHeaderFields
 import org.primrosesill.routing.UpstreamView
 import java.net.URLEncoder
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
+private const val REQUEST_ID_HEADER = "x-request-id"
+
 /**
  * Returns a source of suffixes that no other call of any router gets. A caller chooses its request id freely, so the id
  * alone would let one caller cancel or resume the stream of another, and would let crossed answers look right.
@@ -26,7 +30,7 @@
         method = work.method,
         path = work.path,
         requestId = "${work.id}.$suffix",
-        headers = work.headers + deadlineHeaders(work),
+        headers = fieldsOf("${work.id}.$suffix", work.headers + deadlineHeaders(work)),
         body = work.body.takeIf { it.isNotEmpty() || work.method in listOf("POST", "PUT", "PATCH") },
         timeout = work.timeLeft(),
     )
@@ -38,11 +42,15 @@
         method = "DELETE",
         path = streamPath(sent.requestId),
         requestId = sent.requestId,
-        headers = emptyMap(),
+        headers = fieldsOf(sent.requestId),
         body = null,
         timeout = timeout,
     )
 
+/** The header fields of a call: the id of the request, and [others]. */
+internal fun fieldsOf(requestId: String, others: Map<String, String> = emptyMap()): HeaderFields =
+    others.toHeaderFields().with(REQUEST_ID_HEADER, requestId)
+
 internal fun deadlineHeaders(work: Work): Map<String, String> =
     mapOf(
         "x-priority" to work.contract.priority.toString(),
--- a/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
@@ -4,6 +4,7 @@
  */
 package org.primrosesill.request
 
+import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.UpstreamId
 import kotlin.time.Duration
 
@@ -12,9 +13,12 @@
  *
  * @property address IP number and port
  * @property path path and query, percent-encoded
- * @property requestId value of X-Request-Id, unique for each call that can run
- * @property headers further headers, all of them checked
+ * @property requestId id of the request, unique for each call that can run
+ * @property headers all header fields but Host, Content-Length and Connection, which the client sets
  * @property timeout time until the head of the answer must have arrived
+ * @property host value of the Host field
+ * @property isAnswer tells from the fields of an answer whether it belongs to this call. Another one is read to its end
+ *     and dropped, because a late answer to an earlier request may come first on a kept connection.
  */
 public class UpstreamCall(
     public val upstream: UpstreamId,
@@ -22,11 +26,26 @@
     public val method: String,
     public val path: String,
     public val requestId: String,
-    public val headers: Map<String, String>,
+    public val headers: HeaderFields,
     public val body: ByteArray?,
     public val timeout: Duration,
+    public val host: String = address,
+    public val connection: ConnectionUse = ConnectionUse.Single,
+    public val isAnswer: (HeaderFields) -> Boolean = { true },
 )
 
+/** Which connection a call may use. */
+public sealed interface ConnectionUse {
+    /** A new connection that ends with the call. */
+    public data object Single : ConnectionUse
+
+    /** A new connection, which later calls may use. */
+    public data object Fresh : ConnectionUse
+
+    /** A connection that has been idle for up to [maximumIdle], or else a new one. */
+    public data class Kept(val maximumIdle: Duration) : ConnectionUse
+}
+
 /** A part of the body of an answer. */
 public sealed interface BodyPart {
     public class Bytes(public val bytes: ByteArray) : BodyPart
@@ -46,15 +65,16 @@
 /**
  * The answer of an upstream, whose body is still arriving.
  *
- * @property headers all values by lower-case name
+ * @property reason text beside the status
  */
 public class UpstreamAnswer(
     public val status: Int,
-    public val headers: Map<String, List<String>>,
+    public val headers: HeaderFields,
+    public val reason: String = "",
     public val body: UpstreamBody,
 ) {
-    /** Returns the first value of the header [name], which is in lower case. */
-    public fun header(name: String): String? = headers[name]?.firstOrNull()
+    /** Returns the first value of the header [name]. */
+    public fun header(name: String): String? = headers[name]
 }
 
 /** How an exchange with an upstream ended. */
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnections.kt
@@ -0,0 +1,44 @@
+/*
+ * The open connections of one listener. Owned by the traffic thread, but for the counts.
+ */
+package org.primrosesill.transport
+
+import io.netty.channel.socket.SocketChannel
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+import org.primrosesill.forwarding.RequestHandler
+import java.util.concurrent.atomic.AtomicInteger
+
+internal class CallerConnections(
+    val loop: TrafficLoop,
+    val limits: () -> ListenerLimits,
+    val handler: RequestHandler,
+) {
+    private val open = HashSet<CallerConnection>()
+    private val serving = AtomicInteger()
+
+    /** Answers say from now on that their connection ends with them. */
+    @Volatile
+    var draining = false
+
+    val inFlight: Int get() = serving.get()
+
+    fun open(channel: SocketChannel) {
+        val connection = CallerConnection(channel, this)
+        open += connection
+        channel.closeFuture().addListener { open -= connection }
+        channel.pipeline().addLast(
+            HttpRequestDecoder(decoderConfig(limits().maximumHeaderBytes)),
+            HttpResponseEncoder(),
+            connection,
+        )
+    }
+
+    fun requestStarted() = serving.incrementAndGet()
+
+    fun requestEnded() = serving.decrementAndGet()
+
+    fun closeIdle() = loop.eventLoop.execute { open.filter { it.isIdle }.forEach { it.close() } }
+
+    fun closeAll() = loop.eventLoop.execute { open.toList().forEach { it.close() } }
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -0,0 +1,209 @@
+/*
+ * One connection to an upstream. It carries one request at a time, and tells apart an answer that ended from one that was
+ * cut: only the length, the final chunk, or an orderly close of an answer without either ends an answer.
+ */
+package org.primrosesill.transport
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.channels.Channel as PartChannel
+
+/** What arrives on a connection. */
+internal sealed interface Inbound {
+    class Head(val response: HttpResponse) : Inbound
+
+    class Body(val bytes: ByteArray) : Inbound
+
+    /** The answer is whole. [framed] tells whether its length or a final chunk says so, and not just the close. */
+    class End(val framed: Boolean) : Inbound
+
+    class Broken(val reason: String) : Inbound
+}
+
+/** Reads answers; a request to HEAD has an answer without a body. */
+private class AnswerDecoder : HttpResponseDecoder(decoderConfig(MAXIMUM_ANSWER_HEADER_BYTES)) {
+    var headRequest = false
+
+    /** Whether bytes have arrived that belong to no whole message yet. */
+    val holdsBytes: Boolean get() = actualReadableBytes() > 0
+
+    override fun isContentAlwaysEmpty(message: io.netty.handler.codec.http.HttpMessage): Boolean =
+        headRequest || super.isContentAlwaysEmpty(message)
+}
+
+/** Owned by the traffic thread. */
+internal class UpstreamConnection(val channel: Channel) : ChannelInboundHandlerAdapter() {
+    private val decoder = AnswerDecoder()
+    private val parts = PartChannel<Inbound>(PartChannel.UNLIMITED)
+    private var queuedBytes = 0
+    private var busy = false
+    private var response: HttpResponse? = null
+    private var framed = true
+    private var failure: String? = null
+    private var write: ChannelFuture? = null
+
+    /** Bytes came that belong to no answer, so that nothing on this connection can be trusted any more. */
+    private var tainted = false
+
+    /** Requests that were sent on this connection. */
+    var uses = 0
+        private set
+
+    init {
+        channel.pipeline().addLast(HttpRequestEncoder(), decoder, this)
+    }
+
+    val isOpen: Boolean get() = channel.isActive && !tainted
+
+    /** Whether another request can follow: nothing is left over from the one before. */
+    val isReusable: Boolean
+        get() = isOpen && !busy && !decoder.holdsBytes && failure == null && write?.isSuccess == true
+
+    fun send(request: DefaultFullHttpRequest) {
+        busy = true
+        uses++
+        decoder.headRequest = request.method() == HttpMethod.HEAD
+        write = channel.writeAndFlush(request)
+    }
+
+    /** Waits for what arrives next. */
+    suspend fun receive(): Inbound {
+        val part = parts.receive()
+        if (part is Inbound.Body) {
+            queuedBytes -= part.bytes.size
+            if (queuedBytes < MAXIMUM_QUEUED_BYTES / 2 &&
+                !channel.config().isAutoRead
+            ) {
+                channel.config().isAutoRead = true
+            }
+        }
+        return part
+    }
+
+    fun close() {
+        channel.close()
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        try {
+            if (!busy) {
+                taint()
+            } else if (message is HttpResponse) {
+                takeHead(message)
+            } else {
+                takeContent(message as HttpContent)
+            }
+            if (message is HttpResponse && message is HttpContent && busy) takeContent(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun takeHead(message: HttpResponse) {
+        if (message.decoderResult().isFailure) {
+            return broken(
+                "the answer is not HTTP: ${message.decoderResult().cause()}",
+            )
+        }
+        response = message
+        if (isInterim(message)) return
+        framed =
+            decoder.headRequest ||
+            HttpUtil.isTransferEncodingChunked(
+                message,
+            ) || HttpUtil.isContentLengthSet(message) ||
+            message.status().code() in BODILESS_STATUSES
+        parts.trySend(Inbound.Head(message))
+    }
+
+    private fun takeContent(message: HttpContent) {
+        val head = response ?: return
+        if (isInterim(head)) return
+        if (message.decoderResult().isFailure) return broken("the body is not HTTP: ${message.decoderResult().cause()}")
+        val content: ByteBuf = message.content()
+        if (content.isReadable) {
+            val bytes = content.toBytes()
+            queuedBytes += bytes.size
+            parts.trySend(Inbound.Body(bytes))
+            if (queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
+        }
+        if (message is LastHttpContent) end()
+    }
+
+    private fun end() {
+        response = null
+        // The codec also ends an answer without a length when the connection was reset.
+        val reason = failure
+        if (reason != null && !framed) return broken(reason)
+        busy = false
+        parts.trySend(Inbound.End(framed))
+    }
+
+    /** Ready for the next answer on this connection after one that belonged to no request. */
+    fun expectAnother() {
+        busy = true
+    }
+
+    private fun broken(reason: String) {
+        busy = false
+        tainted = true
+        parts.trySend(Inbound.Broken(reason))
+        channel.close()
+    }
+
+    private fun taint() {
+        tainted = true
+        channel.close()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        if (busy) broken(failure ?: "the connection was closed")
+    }
+
+    @Deprecated("the library declares it deprecated")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        failure = cause.toString()
+        if (busy && (framed || response == null)) broken(cause.toString())
+        context.close()
+    }
+
+    private fun isInterim(message: HttpResponse) = message.status().code() in 100..199
+
+    private companion object {
+        /** Bytes of an answer that wait for a slow caller before the upstream is made to wait. */
+        const val MAXIMUM_QUEUED_BYTES = 256 * 1024
+        val BODILESS_STATUSES = setOf(204, 304)
+    }
+}
+
+/** Returns the request with its framing headers, which follow from the length of [body]. */
+internal fun requestMessage(
+    method: String,
+    target: String,
+    body: ByteArray?,
+    allocator: io.netty.buffer.ByteBufAllocator,
+): DefaultFullHttpRequest {
+    val content =
+        if (body == null ||
+            body.isEmpty()
+        ) {
+            allocator.buffer(0)
+        } else {
+            io.netty.buffer.Unpooled
+                .wrappedBuffer(body)
+        }
+    return DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, content)
+}
--- a/src/test/kotlin/org/primrosesill/architecture/LayersTest.kt
+++ b/src/test/kotlin/org/primrosesill/architecture/LayersTest.kt
@@ -23,11 +23,11 @@
             .layer("entry")
             .definedBy("org.primrosesill", "org.primrosesill.command..")
             .layer("processes")
-            .definedBy(*packages("router", "standin", "experiment"))
+            .definedBy(*packages("router", "gateway", "standin", "experiment"))
             .layer("adapters")
-            .definedBy(*packages("http"))
+            .definedBy(*packages("http", "transport", "platform"))
             .layer("requests")
-            .definedBy(*packages("request"))
+            .definedBy(*packages("request", "forwarding"))
             .layer("decisions")
             .definedBy(*packages(*DECISIONS))
             .layer("events")
@@ -73,6 +73,9 @@
                 "routing",
                 "claim",
                 "answer",
+                "route",
+                "discovery",
+                "placement",
             )
     }
 }
--- a/src/test/kotlin/org/primrosesill/http/UpstreamClientFaultTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/UpstreamClientFaultTest.kt
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.model.UpstreamId
+import org.primrosesill.model.headerFieldsOf
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.ExchangeResult
 import org.primrosesill.request.UpstreamCall
@@ -40,7 +41,7 @@
         method,
         "/b?x=1",
         "r1",
-        mapOf("content-type" to "application/json"),
+        headerFieldsOf("content-type" to "application/json", "x-request-id" to "r1"),
         BODY.toByteArray().takeIf { method == "POST" },
         timeout,
     )
--- a/src/test/kotlin/org/primrosesill/request/RequestFixture.kt
+++ b/src/test/kotlin/org/primrosesill/request/RequestFixture.kt
@@ -24,6 +24,7 @@
 import org.primrosesill.model.Failure
 import org.primrosesill.model.PoolId
 import org.primrosesill.model.RequestId
+import org.primrosesill.model.toHeaderFields
 import kotlin.time.TimeSource
 
 const val TOKEN = "secret"
@@ -107,7 +108,7 @@
     private fun answer(call: UpstreamCall, reply: Reply.Answer): UpstreamAnswer {
         val parts = ArrayDeque(reply.parts)
         val headers = reply.headers + ("x-request-id" to (reply.requestId ?: call.requestId))
-        return UpstreamAnswer(reply.status, headers.mapValues { listOf(it.value) }) {
+        return UpstreamAnswer(reply.status, headers.toHeaderFields()) {
             val part = parts.removeFirst()
             if (part === pause) delay(500)
             if (part === stall) awaitCancellation() else part
--- a/src/test/kotlin/org/primrosesill/request/RequestStreamTest.kt
+++ b/src/test/kotlin/org/primrosesill/request/RequestStreamTest.kt
@@ -204,8 +204,9 @@
             expectThat(
                 client.calls
                     .single()
-                    .headers.keys,
-            ).containsExactly("accept", "idempotency-key", "x-priority", "x-deadline-millis")
+                    .headers
+                    .map { it.name },
+            ).containsExactly("accept", "idempotency-key", "x-priority", "x-deadline-millis", "x-request-id")
             expectThat(client.calls.single().headers["x-priority"]).isEqualTo("5")
             expectThat(fixture.events.types)
                 .containsExactly(
