--- a/src/main/kotlin/org/primrosesill/Main.kt
+++ b/src/main/kotlin/org/primrosesill/Main.kt
@@ -7,5 +7,5 @@
 import org.primrosesill.command.rootCommand
 
 public fun main(arguments: Array<String>) {
-    rootCommand().main(arguments)
+    rootCommand(arguments.firstOrNull()).main(arguments)
 }
--- a/src/main/kotlin/org/primrosesill/command/Addresses.kt
+++ b/src/main/kotlin/org/primrosesill/command/Addresses.kt
@@ -8,8 +8,8 @@
 import com.github.ajalt.clikt.parameters.options.NullableOption
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.option
-import org.primrosesill.http.SocketAddress
-import org.primrosesill.http.parseSocketAddress
+import org.primrosesill.model.SocketAddress
+import org.primrosesill.model.parseSocketAddress
 
 /** An option with an IP number and a port. Port 0 means any free port. */
 internal fun ParameterHolder.addressOption(name: String, help: String): NullableOption<SocketAddress, SocketAddress> =
--- a/src/main/kotlin/org/primrosesill/command/GatewayCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/GatewayCommand.kt
@@ -5,47 +5,53 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
-import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
-import com.github.ajalt.clikt.parameters.types.double
-import com.github.ajalt.clikt.parameters.types.int
-import com.github.ajalt.clikt.parameters.types.long
-import org.primrosesill.event.jsonEventLog
-import org.primrosesill.forwarding.RetryBound
-import org.primrosesill.gateway.GatewaySettings
+import com.github.ajalt.clikt.parameters.types.path
+import kotlinx.coroutines.runBlocking
+import org.primrosesill.contract.GatewaySettingsChecks
+import org.primrosesill.event.boundedEventLog
 import org.primrosesill.gateway.startGateway
-import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.generated.GatewaySettings
 import org.primrosesill.platform.usersPlatform
+import java.io.FileDescriptor
+import java.io.FileOutputStream
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
 
 internal class GatewayCommand : CliktCommand("gateway") {
-    private val availabilityZone by option("--availability-zone", help = "Zone of this VM.").required()
-    private val caller by option("--caller-address").required()
-    private val readiness by option("--readiness-address").required()
-    private val peer by option("--peer-address").required()
-    private val platform by option("--platform-address").required()
-    private val ratio by option("--retry-ratio").double().default(0.2)
-    private val window by option("--retry-window").long().default(10_000)
-    private val fixed by option("--retry-fixed").int().default(10)
+    private val settingsFile by option("--settings", help = "JSON file with the settings of this gateway.")
+        .path(canBeDir = false)
+        .required()
 
-    override fun help(context: Context): String = "Run one gateway."
+    override fun help(context: Context): String = "Run one gateway on the users' platform."
 
     override fun run() {
-        val zone = AvailabilityZoneId(availabilityZone)
-        val settings =
-            GatewaySettings(
-                zone,
-                caller,
-                readiness,
-                peer,
-                platform,
-                emptyList(),
-                RetryBound(ratio, window, fixed),
-                7_000,
-            )
-        val events = jsonEventLog(caller, zone, System.out, System::currentTimeMillis)
-        val gateway = startGateway(settings, usersPlatform(), events)
-        Runtime.getRuntime().addShutdownHook(Thread { gateway.stop() })
+        val settings = readSettings(settingsFile)
+        val output = FileOutputStream(FileDescriptor.out)
+        val events = boundedEventLog(settings.name, settings.availabilityZone, output, System::currentTimeMillis)
+        val gateway = runBlocking { startGateway(settings, usersPlatform(), events) }
+        val stop =
+            Thread {
+                runBlocking { gateway.stop() }
+                events.flush(FLUSH_MILLIS)
+            }
+        Runtime.getRuntime().addShutdownHook(stop)
         Thread.currentThread().join()
     }
+
+    private fun readSettings(file: Path): GatewaySettings {
+        val text =
+            try {
+                file.readText()
+            } catch (exception: IOException) {
+                commandFailed("settings: $file cannot be read: ${exception.message}")
+            }
+        return GatewaySettingsChecks.check(text).fold({ commandFailed("settings: ${it.joinToString("; ")}") }, { it })
+    }
+
+    private companion object {
+        const val FLUSH_MILLIS = 200L
+    }
 }
--- a/src/main/kotlin/org/primrosesill/command/RootCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RootCommand.kt
@@ -11,21 +11,26 @@
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.output.MordantHelpFormatter
 
-private val subcommands: List<() -> CliktCommand> =
-    listOf(
-        ::GatewayCommand,
-        ::RouterCommand,
-        ::CheckCommand,
-        ::StatusCommand,
-        ::TimelineCommand,
-        ::experimentCommand,
-        ::standInCommand,
+private val subcommands: Map<String, () -> CliktCommand> =
+    mapOf(
+        "gateway" to ::GatewayCommand,
+        "router" to ::RouterCommand,
+        "check" to ::CheckCommand,
+        "status" to ::StatusCommand,
+        "timeline" to ::TimelineCommand,
+        "experiment" to ::experimentCommand,
+        "rehearse" to ::RehearsalCommand,
+        "stand-in" to ::standInCommand,
     )
 
-/** Returns the `primrosesill` command. Each option can also be given by an environment variable. */
-public fun rootCommand(): CliktCommand =
+/**
+ * Returns the `primrosesill` command. Each option can also be given by an environment variable.
+ *
+ * @param named the subcommand that will run, when it is known; the others are then left out, which shortens the start
+ */
+public fun rootCommand(named: String? = null): CliktCommand =
     RootCommand()
-        .subcommands(subcommands.map { it() })
+        .subcommands((subcommands[named]?.let(::listOf) ?: subcommands.values).map { it() })
         .context {
             autoEnvvarPrefix = "PRIMROSESILL"
             helpFormatter = { MordantHelpFormatter(it, showDefaultValues = true) }
--- a/src/main/kotlin/org/primrosesill/command/StandInCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/StandInCommand.kt
@@ -24,8 +24,8 @@
 import org.primrosesill.event.jsonEventLog
 import org.primrosesill.event.silentEventLog
 import org.primrosesill.generated.EventType
-import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.standin.EngineSettings
 import org.primrosesill.standin.PlatformSettings
--- a/src/main/kotlin/org/primrosesill/command/StatusCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/StatusCommand.kt
@@ -22,7 +22,7 @@
 import kotlinx.serialization.json.Json
 import org.primrosesill.generated.RouterStatus
 import org.primrosesill.http.OperatorClient
-import org.primrosesill.http.SocketAddress
+import org.primrosesill.model.SocketAddress
 import kotlin.time.Duration.Companion.milliseconds
 
 private val statusJson =
--- a/src/main/kotlin/org/primrosesill/command/StatusTable.kt
+++ b/src/main/kotlin/org/primrosesill/command/StatusTable.kt
@@ -11,7 +11,7 @@
 import com.github.ajalt.mordant.terminal.Terminal
 import org.primrosesill.event.printable
 import org.primrosesill.generated.RouterStatus
-import org.primrosesill.http.SocketAddress
+import org.primrosesill.model.SocketAddress
 
 /** What one router answered: a status, or the failure in words. */
 internal class StatusAnswer(val address: SocketAddress, val status: RouterStatus?, val failure: String = "")
--- a/src/main/kotlin/org/primrosesill/router/ControlThread.kt
+++ b/src/main/kotlin/org/primrosesill/concurrent/ControlThread.kt
@@ -1,9 +1,11 @@
 /*
- * The one thread that owns the control state of a router.
+ * The one thread that owns the control state of a process.
  */
-package org.primrosesill.router
+package org.primrosesill.concurrent
 
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -19,16 +21,19 @@
         Executors.newSingleThreadExecutor { task ->
             Thread(task, "control").apply { isDaemon = true }
         }
-    private val dispatcher = executor.asCoroutineDispatcher()
+    private val closeable = executor.asCoroutineDispatcher()
+
+    /** Runs coroutines on the control thread. */
+    public val dispatcher: CoroutineDispatcher = closeable
 
     /** Runs [block] on the control thread and returns its result. [block] must not wait for anything. */
     public suspend fun <T> run(block: () -> T): T = withContext(dispatcher) { block() }
 
-    override fun close(): Unit = dispatcher.close()
+    override fun close(): Unit = closeable.close()
 }
 
 /** Starts [action] every [interval], counted from start to start, until the scope ends. A slow action delays the next. */
-internal fun CoroutineScope.launchEvery(interval: Duration, action: suspend () -> Unit) =
+public fun CoroutineScope.launchEvery(interval: Duration, action: suspend () -> Unit): Job =
     launch {
         while (isActive) {
             val start = TimeSource.Monotonic.markNow()
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
@@ -0,0 +1,61 @@
+/*
+ * Checks the settings of a gateway before they come into force.
+ */
+package org.primrosesill.contract
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import org.primrosesill.generated.GatewaySettings
+
+private val nameRule = TextRule("1 to 200 visible characters", Regex("[!-~]{1,200}"))
+private val addressRule = TextRule("an IP number and a port", Regex("([0-9.]+|\\[[0-9a-fA-F:]+]):[0-9]{1,5}"))
+private val millisRule = WholeNumberRule(1L..3_600_000L)
+private val ratioRule = NumberRule(0.0..100.0)
+private val countRule = WholeNumberRule(0L..1_000_000L)
+
+private val settingsRule =
+    ObjectRule(
+        Field("name", nameRule, required = true),
+        Field("availabilityZone", nameRule, required = true),
+        Field("callerAddress", addressRule, required = true),
+        Field("readinessAddress", addressRule, required = true),
+        Field("peerAddress", addressRule, required = true),
+        Field("metricsAddress", addressRule, required = true),
+        Field("platformAddress", addressRule, required = true),
+        Field("peers", ListRule(addressRule, 0..1_000)),
+        Field("retryRatio", ratioRule),
+        Field("retryWindowMillis", millisRule),
+        Field("retryFixed", countRule),
+        Field("coldStartOverage", ratioRule),
+        Field("coldStartTolerance", countRule),
+        Field("stopGraceMillis", millisRule),
+    )
+
+/** Checks the settings of gateways. */
+public object GatewaySettingsChecks {
+    /** Returns the settings in [text], or every fault in it. */
+    public fun check(text: String): Either<NonEmptyList<DocumentError>, GatewaySettings> {
+        val json =
+            try {
+                Json.parseToJsonElement(text)
+            } catch (exception: SerializationException) {
+                val line =
+                    exception.message
+                        .orEmpty()
+                        .lineSequence()
+                        .first()
+                return nonEmptyListOf(
+                    DocumentError.WrongType("", "text that is not JSON ($line)", settingsRule.allowed),
+                ).left()
+            }
+        if (json !is JsonObject) {
+            return nonEmptyListOf(DocumentError.WrongType("", "another JSON value", settingsRule.allowed)).left()
+        }
+        return decode(json, settingsRule, GatewaySettings.serializer()) { _, _ -> }
+    }
+}
--- a/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -48,10 +48,12 @@
                     end.reason,
                 ).also { dependencies.activity.failed(upstream.id) }
         }
+        if (caller.started) return AttemptEnd.Unknown("the stream went on with status ${answer.status}")
+        if (answer.status >= 500 && job.route.idempotent) {
+            return AttemptEnd.Failed(headOf(answer), buffer.toByteArray())
+        }
         // These statuses promise that the request did not run, which the upstream does not say.
         if (answer.status in PROMISING_STATUSES) return AttemptEnd.Unknown("status ${answer.status} without a promise")
-        if (caller.started) return AttemptEnd.Cut("the stream went on with status ${answer.status}")
-        if (answer.status >= 500 && job.route.idempotent) return AttemptEnd.Unknown("status ${answer.status}")
         dependencies.activity.succeeded(upstream.id)
         caller.respond(headOf(answer), buffer.toByteArray())
         return AttemptEnd.Delivered(answer.status)
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -22,6 +22,9 @@
     /** The upstream did not run the request. */
     class NotRun(val reason: String) : AttemptEnd
 
+    /** The upstream answered with a failure of its own, and the request may run again. */
+    class Failed(val head: OutboundHead, val body: ByteArray) : AttemptEnd
+
     /** The upstream may have run the request, and the caller has nothing, or a stream that may go on elsewhere. */
     class Unknown(val reason: String) : AttemptEnd
 
@@ -29,6 +32,28 @@
     class Cut(val reason: String) : AttemptEnd
 }
 
+/** What the caller gets if no later attempt succeeds: the answer of an upstream rather than a failure of this router. */
+private class LastFailure(private val answer: OutboundAnswer) {
+    private var failed: AttemptEnd.Failed? = null
+    private var unknown: Failure? = null
+
+    fun take(end: AttemptEnd.Failed) {
+        failed = end
+    }
+
+    fun take(failure: Failure) {
+        unknown = failure
+    }
+
+    /** Answers with what an upstream said, or returns the failure that is known, or else [failure]. */
+    suspend fun or(failure: Failure): Failure? {
+        val end = failed
+        if (end == null || answer.started) return unknown ?: failure
+        answer.respond(end.head, end.body)
+        return null
+    }
+}
+
 internal class AttemptLoop(private val dependencies: ForwarderDependencies) {
     private val relay = AnswerRelay(dependencies)
 
@@ -37,29 +62,31 @@
         val excluded = HashSet<UpstreamId>()
         var runs = 0
         var sends = 0
-        var unknown: Failure? = null
+        val last = LastFailure(answer)
         while (true) {
-            if (!job.timeLeft().isPositive()) return unknown ?: Failure.NoUpstream(job.pool, "no time is left")
-            if (sends > 0 && !dependencies.retries.tryTake(job.pool)) return unknown ?: overRetryBudget(job)
-            val upstream =
+            if (!job.timeLeft().isPositive()) return last.or(Failure.NoUpstream(job.pool, "no time is left"))
+            if (sends > 0 && !dependencies.retries.tryTake(job.pool)) return last.or(overRetryBudget(job))
+            val placement =
                 when (val placed = place(job, excluded)) {
-                    is PlacementResult.Chosen -> placed.upstream
+                    is PlacementResult.Chosen -> placed
                     is PlacementResult.Refused ->
-                        return unknown ?: Failure.NoUpstream(job.pool, placed.reason, placed.retryAfter)
+                        return last.or(Failure.NoUpstream(job.pool, placed.reason, placed.retryAfter))
                 }
+            val upstream = placement.upstream
             excluded += upstream.id
-            val end = attempt(job, upstream, answer)
+            val end = attempt(job, placement, answer)
             record(job, upstream, end)
             when (end) {
                 is AttemptEnd.Delivered -> return null
                 is AttemptEnd.Cut -> return Failure.AnswerCut(upstream.id, end.reason)
-                is AttemptEnd.NotRun -> if (++sends >= MAXIMUM_SENDS) return unknown ?: refused(upstream, end)
-                is AttemptEnd.Unknown -> {
-                    unknown = outcomeUnknown(job, upstream, end)
-                    sends++
-                    runs++
-                    if (!job.route.idempotent || runs >= job.route.maximumAttempts) return unknown
-                }
+                is AttemptEnd.NotRun -> if (++sends >= MAXIMUM_SENDS) return last.or(refused(upstream, end))
+                is AttemptEnd.Failed -> last.take(end)
+                is AttemptEnd.Unknown -> last.take(outcomeUnknown(job, upstream, end))
+            }
+            if (end is AttemptEnd.Failed || end is AttemptEnd.Unknown) {
+                sends++
+                runs++
+                if (!job.route.idempotent || runs >= job.route.maximumAttempts) return last.or(overRetryBudget(job))
             }
         }
     }
@@ -69,13 +96,18 @@
         return dependencies.placement.choose(request, dependencies.view())
     }
 
-    private suspend fun attempt(job: ForwardingJob, upstream: KnownUpstream, answer: OutboundAnswer): AttemptEnd {
+    private suspend fun attempt(
+        job: ForwardingJob,
+        placement: PlacementResult.Chosen,
+        answer: OutboundAnswer,
+    ): AttemptEnd {
+        val upstream = placement.upstream
         val activity = dependencies.activity
         activity.started(upstream.id)
         try {
             val result =
                 dependencies.client.exchange(
-                    callTo(job, upstream),
+                    callTo(job, placement),
                 ) { relay.deliver(job, upstream, it, answer) }
             return when (result) {
                 is ExchangeResult.Answered -> result.value
@@ -88,9 +120,17 @@
         }
     }
 
-    private fun callTo(job: ForwardingJob, upstream: KnownUpstream): UpstreamCall {
+    private fun callTo(job: ForwardingJob, placement: PlacementResult.Chosen): UpstreamCall {
+        val upstream = placement.upstream
         val order =
-            UpstreamOrder(upstream.id, job.account?.customer, job.timeLeft(), job.urgency, job.lastEventId)
+            UpstreamOrder(
+                upstream.id,
+                job.account?.customer,
+                job.timeLeft(),
+                job.urgency,
+                job.lastEventId,
+                placement.prefixSource?.registration?.address,
+            )
         val request = job.request
         return UpstreamCall(
             upstream = upstream.id,
@@ -130,6 +170,8 @@
                 dependencies.events.record(EventType.REQUEST_FINISHED, id, upstream.id, "status ${end.status}")
             is AttemptEnd.NotRun ->
                 dependencies.events.record(EventType.REQUEST_RETRIED, id, upstream.id, "not run: ${end.reason}")
+            is AttemptEnd.Failed ->
+                dependencies.events.record(EventType.REQUEST_RETRIED, id, upstream.id, "status ${end.head.status}")
             is AttemptEnd.Unknown ->
                 dependencies.events.record(EventType.OUTCOME_UNKNOWN, id, upstream.id, end.reason)
             is AttemptEnd.Cut -> dependencies.events.record(EventType.ANSWER_CUT, id, upstream.id, end.reason)
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -19,10 +19,12 @@
 import org.primrosesill.route.ServingConfiguration
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What the path of a request works with. */
 public class ForwarderDependencies(
     public val view: () -> DirectoryView,
+    public val awaitConfiguration: suspend (Duration) -> Unit,
     public val protocol: ForwardingProtocol,
     public val placement: Placement,
     public val activity: UpstreamActivity,
@@ -35,11 +37,15 @@
 /** Returns the handler of requests that are passed on. */
 public fun forwarder(dependencies: ForwarderDependencies): RequestHandler = Forwarder(dependencies)
 
+/** A process that has just started has its configuration within a fraction of a second, sooner than a refused caller is back. */
+private val START_PATIENCE = 800.milliseconds
+
 private class Forwarder(private val dependencies: ForwarderDependencies) : RequestHandler {
     private val attempts = AttemptLoop(dependencies)
 
     override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
         val description = dependencies.protocol.describe(request)
+        if (dependencies.view().configuration == null) dependencies.awaitConfiguration(START_PATIENCE)
         val job = accept(request, description).fold({ return refuse(answer, description, it) }, { it })
         dependencies.retries.recordRequest(job.pool)
         try {
--- a/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
@@ -54,6 +54,7 @@
  * @property timeLeft how long the answer is of use
  * @property urgency from 0, the most urgent, to 9; null leaves it to the upstream
  * @property lastEventId the last event that the caller has, when a stream goes on at another upstream
+ * @property prefixSource address of an upstream from which it can fetch parts of the prompt that it lacks, or null
  */
 public class UpstreamOrder(
     public val upstream: UpstreamId,
@@ -61,6 +62,7 @@
     public val timeLeft: Duration,
     public val urgency: Int?,
     public val lastEventId: String?,
+    public val prefixSource: String? = null,
 )
 
 /** Reads and writes the header fields of requests and answers that are passed on. Pure. */
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
@@ -0,0 +1,102 @@
+/*
+ * Owns the directory of one gateway: takes what its sources deliver, publishes views for traffic, and records changes.
+ */
+package org.primrosesill.gateway
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.primrosesill.discovery.DirectoryChange
+import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.discovery.FeedError
+import org.primrosesill.discovery.PlatformChanges
+import org.primrosesill.discovery.PlatformItem
+import org.primrosesill.discovery.PlatformListing
+import org.primrosesill.discovery.UpstreamDirectory
+import org.primrosesill.event.EventLog
+import org.primrosesill.event.EventSubject
+import org.primrosesill.generated.EventType
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
+
+/** Used on the control thread, but for [view]. */
+internal class DirectoryKeeper(
+    private val directory: UpstreamDirectory,
+    private val events: EventLog,
+    private val nowMillis: () -> Long,
+) {
+    private val published = AtomicReference(DirectoryView())
+    private val configured = CompletableDeferred<Unit>()
+    private var platformError: String? = null
+
+    /** What traffic reads. */
+    val view: DirectoryView get() = published.get()
+
+    /** Waits until there is a configuration, or [timeout] is over. Safe to call from any thread. */
+    suspend fun awaitConfiguration(timeout: Duration) {
+        withTimeoutOrNull(timeout) { configured.await() }
+    }
+
+    val revision: Long get() = directory.revision
+
+    fun itemsAfter(revision: Long): List<PlatformItem> = directory.itemsAfter(revision)
+
+    fun take(listing: PlatformListing, source: String) = publish(directory.applyListing(listing, nowMillis()), source)
+
+    fun take(since: Long, changes: PlatformChanges, source: String) =
+        publish(directory.applyChanges(since, changes, nowMillis()), source)
+
+    fun tick() = publish(directory.tick(nowMillis()), "the clock")
+
+    fun platformAnswered() {
+        directory.platformAnswered(nowMillis())
+        if (platformError == null) return
+        platformError = null
+        events.record(EventType.PLATFORM_BACK, "it answers again")
+    }
+
+    fun platformFailed(error: FeedError) {
+        directory.platformFailed()
+        if (platformError == error.toString()) return
+        platformError = error.toString()
+        events.record(EventType.PLATFORM_LOST, error.toString())
+    }
+
+    private fun publish(changes: List<DirectoryChange>, source: String) {
+        if (changes.isEmpty() && directory.revision == view.revision) return
+        published.set(directory.view())
+        if (view.configuration != null) configured.complete(Unit)
+        changes.forEach { record(it, source) }
+    }
+
+    private fun record(change: DirectoryChange, source: String) {
+        val revision = directory.revision
+        when (change) {
+            is DirectoryChange.ConfigurationTaken ->
+                line(EventType.CONFIGURATION_ACCEPTED, "version ${change.version} from $source", "${change.version}")
+            is DirectoryChange.ConfigurationOutdated ->
+                line(
+                    EventType.CONFIGURATION_REFUSED,
+                    "version ${change.version} from $source is older than ${change.inForce}, which is in force",
+                    "${change.version}",
+                )
+            is DirectoryChange.ZoneEvacuated -> line(EventType.ZONE_OUT, "evacuated, from $source", change.zone.value)
+            is DirectoryChange.ZoneReturned -> line(EventType.ZONE_BACK, "taken back, from $source", change.zone.value)
+            is DirectoryChange.UpstreamListed ->
+                events.record(
+                    EventType.UPSTREAM_JOINED,
+                    "${change.state}, from $source",
+                    EventSubject(upstream = change.upstream, configurationRevision = revision),
+                )
+            is DirectoryChange.UpstreamGone ->
+                events.record(
+                    EventType.UPSTREAM_LOST,
+                    "${change.reason}, from $source",
+                    EventSubject(upstream = change.upstream, configurationRevision = revision),
+                )
+            is DirectoryChange.ItemRefused -> line(EventType.ITEM_REFUSED, "${change.reason}, from $source", change.key)
+        }
+    }
+
+    private fun line(type: EventType, cause: String, subject: String) =
+        events.record(type, cause, EventSubject(subject = subject, configurationRevision = directory.revision))
+}
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -0,0 +1,125 @@
+/*
+ * The parts of one gateway and how they are connected.
+ */
+package org.primrosesill.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import org.primrosesill.concurrent.ControlThread
+import org.primrosesill.discovery.UpstreamDirectory
+import org.primrosesill.event.EventLog
+import org.primrosesill.event.EventSubject
+import org.primrosesill.forwarding.ForwarderDependencies
+import org.primrosesill.forwarding.OutboundHead
+import org.primrosesill.forwarding.PlatformAdapter
+import org.primrosesill.forwarding.RequestHandler
+import org.primrosesill.forwarding.RetryAllowance
+import org.primrosesill.forwarding.RetryBound
+import org.primrosesill.forwarding.forwarder
+import org.primrosesill.generated.GatewaySettings
+import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
+import org.primrosesill.model.RouterId
+import org.primrosesill.placement.UpstreamActivity
+import org.primrosesill.placement.affinityPlacement
+import org.primrosesill.transport.ListenerLimits
+import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.UpstreamClientSettings
+import org.primrosesill.transport.nettyUpstreamClient
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Milliseconds of a clock that never goes back. */
+internal fun steadyMillis(): Long = System.nanoTime() / 1_000_000
+
+internal class GatewayParts(
+    val settings: GatewaySettings,
+    private val adapter: PlatformAdapter,
+    val events: EventLog,
+) {
+    val loop = TrafficLoop()
+    val control = ControlThread()
+    val controlScope = CoroutineScope(SupervisorJob() + control.dispatcher)
+
+    @Volatile
+    var stopping = false
+
+    private val activity = UpstreamActivity(::steadyMillis)
+    private val fleetView = AtomicReference(FleetView(gateways = 1, othersInFlight = emptyMap()))
+    private val client =
+        nettyUpstreamClient(loop, UpstreamClientSettings(CONNECT_TIMEOUT, acceptsUnframed = true))
+    private val keeper = DirectoryKeeper(UpstreamDirectory(adapter.itemDecoder), events, ::steadyMillis)
+    val fleet = Fleet(newMember(settings), settings.peers.toSet() - settings.peerAddress, activity::counts, events)
+    val exchange = ExchangeLoop(controlScope, fleet, keeper, PeerClient(client), ::steadyMillis)
+    val platformLoop = PlatformLoop(adapter.feed(settings.platformAddress, client), keeper, ::watchTime)
+    val peerHandler = PeerHandler(exchange, control.dispatcher)
+
+    val forwarder =
+        forwarder(
+            ForwarderDependencies(
+                view = keeper::view,
+                awaitConfiguration = keeper::awaitConfiguration,
+                protocol = adapter.protocol,
+                placement =
+                    affinityPlacement(settings.availabilityZone, activity) { fleetView.get().othersInFlight },
+                activity = activity,
+                retries = RetryAllowance(retryBound(settings), { fleetView.get().gateways }, ::steadyMillis),
+                client = client,
+                events = { type, request, upstream, cause ->
+                    events.record(type, cause, EventSubject(request = request, upstream = upstream))
+                },
+            ),
+        )
+
+    val readiness =
+        RequestHandler { request, answer ->
+            val ready = request.path == adapter.readinessPath && isReady()
+            answer.respond(OutboundHead(if (ready) 200 else 503))
+        }
+
+    fun isReady(): Boolean = !stopping && keeper.view.configuration != null && keeper.view.upstreams.isNotEmpty()
+
+    fun callerLimits(): ListenerLimits {
+        val limits = keeper.view.configuration?.limits ?: return ListenerLimits()
+        return ListenerLimits(
+            limits.maximumHeaderBytes,
+            limits.maximumBodyBytes,
+            limits.headerTimeout,
+            idleTimeout = limits.idleTimeout,
+        )
+    }
+
+    fun tick() {
+        val now = steadyMillis()
+        keeper.tick()
+        fleet.tick(now)
+        fleetView.set(fleet.view(now))
+    }
+
+    /** All gateways together start a watch about as often, however many they are; the exchange spreads what one sees. */
+    private fun watchTime(): Duration =
+        (WATCH_TIME_FOR_EACH_GATEWAY * fleetView.get().gateways).coerceIn(MINIMUM_WATCH_TIME, MAXIMUM_WATCH_TIME)
+
+    private companion object {
+        val CONNECT_TIMEOUT = 300.milliseconds
+        val WATCH_TIME_FOR_EACH_GATEWAY = 700.milliseconds
+        val MINIMUM_WATCH_TIME = 2.seconds
+        val MAXIMUM_WATCH_TIME = 15.seconds
+    }
+}
+
+private fun retryBound(settings: GatewaySettings) =
+    RetryBound(settings.retryRatio, settings.retryWindowMillis, settings.retryFixed)
+
+private fun newMember(settings: GatewaySettings) =
+    Member(
+        router = RouterId(UUID.randomUUID().toString()),
+        address = settings.peerAddress,
+        availabilityZone = settings.availabilityZone,
+        startedAtMillis = System.currentTimeMillis(),
+        heartbeat = 0,
+        state = MemberState.LIVE,
+    )
--- a/src/main/kotlin/org/primrosesill/http/OperatorClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/OperatorClient.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.primrosesill.generated.RouterStatus
+import org.primrosesill.model.SocketAddress
 import java.io.IOException
 import java.nio.channels.UnresolvedAddressException
 import kotlin.time.Duration
--- a/src/main/kotlin/org/primrosesill/http/OperatorListener.kt
+++ b/src/main/kotlin/org/primrosesill/http/OperatorListener.kt
@@ -18,6 +18,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.serializer
 import org.primrosesill.generated.RouterStatus
+import org.primrosesill.model.SocketAddress
 
 internal const val STATUS_PATH: String = "/status"
 private const val LIVE_PATH = "/health/live"
--- a/src/main/kotlin/org/primrosesill/http/PeerListener.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerListener.kt
@@ -32,6 +32,7 @@
 import org.primrosesill.generated.StoredAnswer
 import org.primrosesill.generated.VmList
 import org.primrosesill.model.ClaimResource
+import org.primrosesill.model.SocketAddress
 
 /** Answers the messages of other routers. Called on traffic threads. */
 public interface PeerHandler {
--- a/src/main/kotlin/org/primrosesill/http/SocketAddress.kt
+++ b/src/main/kotlin/org/primrosesill/model/SocketAddress.kt
@@ -1,7 +1,7 @@
 /*
- * An IP number and port from the settings or from the VM list.
+ * An IP number and port, as settings and directories name them.
  */
-package org.primrosesill.http
+package org.primrosesill.model
 
 import arrow.core.Either
 import arrow.core.left
--- a/src/main/kotlin/org/primrosesill/placement/AffinityPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/AffinityPlacement.kt
@@ -13,34 +13,50 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Returns the placement of a router in [zone]. */
-public fun affinityPlacement(zone: AvailabilityZoneId, activity: UpstreamActivity): Placement =
-    AffinityPlacement(zone, activity)
+public fun affinityPlacement(
+    zone: AvailabilityZoneId,
+    activity: UpstreamActivity,
+    othersInFlight: () -> Map<UpstreamId, Int>,
+): Placement = AffinityPlacement(zone, activity, othersInFlight)
 
-private class AffinityPlacement(private val zone: AvailabilityZoneId, private val activity: UpstreamActivity) :
-    Placement {
+private class AffinityPlacement(
+    private val zone: AvailabilityZoneId,
+    private val activity: UpstreamActivity,
+    private val othersInFlight: () -> Map<UpstreamId, Int>,
+) : Placement {
     override fun choose(request: PlacementRequest, view: DirectoryView): PlacementResult {
         val eligible = view.eligible(request.pool).filter { it.id !in request.excluded }
         if (eligible.isEmpty()) return PlacementResult.Refused("no upstream may take new requests", RETRY_AFTER)
         val sound = eligible.filterNot { activity.isSuspect(it.id) }.ifEmpty { eligible }
         val key = request.prompt?.let(::sharedKey)
-        return PlacementResult.Chosen(if (key == null) leastLoaded(sound) else byAffinity(sound, key))
+        if (key == null) return PlacementResult.Chosen(leastLoaded(sound))
+        val chosen = byAffinity(sound, key)
+        val source = (sound - chosen).maxByOrNull { rank(key, it.id) }
+        return PlacementResult.Chosen(chosen, source)
     }
 
     private fun byAffinity(candidates: List<KnownUpstream>, key: String): KnownUpstream {
-        val mean = candidates.sumOf { activity.inFlight(it.id) }.toDouble() / candidates.size
-        val bound = ceil(mean * LOAD_MULTIPLE + 1)
+        val others = othersInFlight()
+        val loads = candidates.associateWith { load(it, others) }
+        val bound = ceil(loads.values.sum().toDouble() / candidates.size * LOAD_MULTIPLE + LOAD_SLACK)
         val ranked = candidates.sortedByDescending { rank(key, it.id) }
-        return ranked.firstOrNull { activity.inFlight(it.id) < bound } ?: leastLoaded(candidates)
+        return ranked.firstOrNull { loads.getValue(it) < bound } ?: candidates.minBy { loads.getValue(it) }
     }
 
-    private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream =
-        candidates.shuffled().minBy { upstream ->
+    private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream {
+        val others = othersInFlight()
+        return candidates.shuffled().minBy { upstream ->
             val remote = if (upstream.registration.availabilityZone == zone) 0 else 1
-            activity.inFlight(upstream.id) * 2 + remote
+            load(upstream, others) * 2 + remote
         }
+    }
+
+    private fun load(upstream: KnownUpstream, others: Map<UpstreamId, Int>): Int =
+        activity.inFlight(upstream.id) + (others[upstream.id] ?: 0)
 
     private companion object {
         const val LOAD_MULTIPLE = 1.25
+        const val LOAD_SLACK = 2
         val RETRY_AFTER = 300.milliseconds
     }
 }
--- a/src/main/kotlin/org/primrosesill/placement/Placement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/Placement.kt
@@ -23,7 +23,12 @@
 
 /** Where a request goes, or when there may be room. */
 public sealed interface PlacementResult {
-    public class Chosen(public val upstream: KnownUpstream) : PlacementResult
+    /**
+     * @property prefixSource an upstream that probably keeps the shared parts of the prompt, from which the chosen one
+     *     can fetch what it lacks, or null
+     */
+    public class Chosen(public val upstream: KnownUpstream, public val prefixSource: KnownUpstream? = null) :
+        PlacementResult
 
     public class Refused(public val reason: String, public val retryAfter: Duration) : PlacementResult
 }
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
@@ -9,19 +9,27 @@
 public class UpstreamActivity(private val nowMillis: () -> Long) {
     private val records = HashMap<UpstreamId, Record>()
 
+    @Volatile
+    private var published: Map<UpstreamId, Int> = emptyMap()
+
     /** Requests of this router in progress at [upstream]. */
     public fun inFlight(upstream: UpstreamId): Int = records[upstream]?.inFlight ?: 0
 
+    /** Requests of this router in progress by upstream. Safe to call from any thread. */
+    public fun counts(): Map<UpstreamId, Int> = published
+
     /** Whether requests should rather go elsewhere, since [upstream] did not answer lately. */
     public fun isSuspect(upstream: UpstreamId): Boolean =
         records[upstream]?.let { it.suspectUntilMillis > nowMillis() } ?: false
 
     public fun started(upstream: UpstreamId) {
         record(upstream).inFlight++
+        publish()
     }
 
     public fun ended(upstream: UpstreamId) {
         record(upstream).inFlight--
+        publish()
     }
 
     /** Records that [upstream] answered with sense. */
@@ -44,6 +52,10 @@
         records.entries.removeIf { it.key !in known && it.value.inFlight == 0 }
     }
 
+    private fun publish() {
+        published = records.mapValues { it.value.inFlight }
+    }
+
     private fun record(upstream: UpstreamId) = records.getOrPut(upstream) { Record() }
 
     private class Record {
--- a/src/main/kotlin/org/primrosesill/platform/WireHeaders.kt
+++ b/src/main/kotlin/org/primrosesill/platform/WireHeaders.kt
@@ -92,6 +92,7 @@
         fields += HeaderField(EXPECTED_INSTANCE, order.upstream.value)
         order.customer?.let { fields += HeaderField(TENANT, it.value) }
         order.urgency?.let { fields += HeaderField(URGENCY, it.toString()) }
+        order.prefixSource?.let { fields += HeaderField("Kv-Fetch", it) }
         order.lastEventId?.let { fields += HeaderField(LAST_EVENT_ID, it) }
         return passed + HeaderFields(fields)
     }
--- a/src/main/kotlin/org/primrosesill/router/CatchUpLoop.kt
+++ b/src/main/kotlin/org/primrosesill/router/CatchUpLoop.kt
@@ -3,6 +3,7 @@
  */
 package org.primrosesill.router
 
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.configuration.PeerRevision
 import org.primrosesill.configuration.ReaderElection
 import org.primrosesill.generated.Member
--- a/src/main/kotlin/org/primrosesill/router/ClaimVoter.kt
+++ b/src/main/kotlin/org/primrosesill/router/ClaimVoter.kt
@@ -6,6 +6,7 @@
 import org.primrosesill.claim.ClaimTable
 import org.primrosesill.claim.HeldKeyClaims
 import org.primrosesill.claim.HolderOutcome
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.generated.ClaimRelease
 import org.primrosesill.generated.ClaimReply
 import org.primrosesill.generated.ClaimRequest
--- a/src/main/kotlin/org/primrosesill/router/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/router/ExchangeLoop.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.exchange.planFullMesh
 import org.primrosesill.exchange.planProbes
 import org.primrosesill.generated.ExchangeMessage
--- a/src/main/kotlin/org/primrosesill/router/HomeReservations.kt
+++ b/src/main/kotlin/org/primrosesill/router/HomeReservations.kt
@@ -4,6 +4,7 @@
 package org.primrosesill.router
 
 import kotlinx.coroutines.withTimeoutOrNull
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.generated.MemberState
 import org.primrosesill.generated.ReservationReply
 import org.primrosesill.generated.ReservationRequest
--- a/src/main/kotlin/org/primrosesill/router/LoadPollLoop.kt
+++ b/src/main/kotlin/org/primrosesill/router/LoadPollLoop.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.generated.LoadReport
 import org.primrosesill.http.LoadReportClient
 import org.primrosesill.model.UpstreamId
--- a/src/main/kotlin/org/primrosesill/router/PeerMessages.kt
+++ b/src/main/kotlin/org/primrosesill/router/PeerMessages.kt
@@ -3,6 +3,7 @@
  */
 package org.primrosesill.router
 
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.generated.ClaimOutcome
 import org.primrosesill.generated.ClaimRelease
 import org.primrosesill.generated.ClaimReply
--- a/src/main/kotlin/org/primrosesill/router/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/router/PlatformLoop.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.configuration.ReaderCandidate
 import org.primrosesill.configuration.ReaderElection
 import org.primrosesill.configuration.ReaderRole
--- a/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterLimits.kt
@@ -7,6 +7,7 @@
 import org.primrosesill.admission.AdmissionSettings
 import org.primrosesill.admission.priorityAdmissionControl
 import org.primrosesill.admission.tokenRetryBudget
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.configuration.ConfigurationSnapshot
 import org.primrosesill.generated.LeaseReply
 import org.primrosesill.generated.LeaseRequest
--- a/src/main/kotlin/org/primrosesill/router/RouterParts.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterParts.kt
@@ -14,6 +14,7 @@
 import org.primrosesill.claim.KnownRouters
 import org.primrosesill.claim.quorumKeyClaims
 import org.primrosesill.claim.quorumSlotClaims
+import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.configuration.DocumentStore
 import org.primrosesill.event.EventLog
 import org.primrosesill.exchange.PartTable
--- a/src/main/kotlin/org/primrosesill/standin/EngineListener.kt
+++ b/src/main/kotlin/org/primrosesill/standin/EngineListener.kt
@@ -24,8 +24,8 @@
 import org.primrosesill.event.EventSubject
 import org.primrosesill.event.silentEventLog
 import org.primrosesill.generated.EventType
-import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.RequestId
+import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.UpstreamId
 
 /** Starts a stand-in engine that writes what it runs to [events]. */
--- a/src/main/kotlin/org/primrosesill/standin/PlatformListener.kt
+++ b/src/main/kotlin/org/primrosesill/standin/PlatformListener.kt
@@ -26,9 +26,9 @@
 import kotlinx.serialization.json.JsonObject
 import org.primrosesill.generated.VmEntry
 import org.primrosesill.generated.VmList
-import org.primrosesill.http.SocketAddress
 import org.primrosesill.http.readBounded
 import org.primrosesill.model.DocumentName
+import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.VmId
 import java.io.IOException
 import java.nio.file.Files
--- a/src/main/kotlin/org/primrosesill/standin/ServiceListener.kt
+++ b/src/main/kotlin/org/primrosesill/standin/ServiceListener.kt
@@ -23,8 +23,8 @@
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.LoadReport
 import org.primrosesill.generated.UpstreamState
-import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.RequestId
+import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.UpstreamId
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
--- a/src/main/kotlin/org/primrosesill/standin/StandInServer.kt
+++ b/src/main/kotlin/org/primrosesill/standin/StandInServer.kt
@@ -27,7 +27,7 @@
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import org.primrosesill.generated.UpstreamState
-import org.primrosesill.http.SocketAddress
+import org.primrosesill.model.SocketAddress
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.ServerSocket
--- a/src/main/kotlin/org/primrosesill/transport/HttpListener.kt
+++ b/src/main/kotlin/org/primrosesill/transport/HttpListener.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.primrosesill.forwarding.RequestHandler
+import org.primrosesill.model.parseSocketAddress
 import java.io.IOException
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -56,7 +57,7 @@
     limits: () -> ListenerLimits,
     handler: RequestHandler,
 ): HttpListener {
-    val target = socketAddress(address) ?: throw IOException("'$address' is not an IP address with a port")
+    val target = parseSocketAddress(address).fold({ throw IOException(it.toString()) }, { it.toInetSocketAddress() })
     val connections = CallerConnections(loop, limits, handler)
     val future =
         ServerBootstrap()
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.parseSocketAddress
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.ConnectionUse
 import org.primrosesill.request.ExchangeResult
@@ -24,7 +25,6 @@
 import org.primrosesill.request.UpstreamBody
 import org.primrosesill.request.UpstreamCall
 import org.primrosesill.request.UpstreamClient
-import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -113,7 +113,10 @@
 
     /** A cancelled wait closes the connection that comes about later. */
     private suspend fun connect(address: String): Opened {
-        val target = socketAddress(address) ?: return Opened.Failed("'$address' is not an IP address with a port")
+        val target =
+            parseSocketAddress(
+                address,
+            ).fold({ return Opened.Failed(it.toString()) }, { it.toInetSocketAddress() })
         counter.opened()
         val future = bootstrap.connect(target)
         return suspendCancellableCoroutine { continuation ->
@@ -205,13 +208,3 @@
         }
     }
 }
-
-/** Returns the socket address of `IP:port`, or null; names are never looked up. */
-internal fun socketAddress(address: String): InetSocketAddress? {
-    val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..65535 } ?: return null
-    val host = address.substringBeforeLast(':').removeSurrounding("[", "]")
-    val bytes =
-        io.netty.util.NetUtil
-            .createByteArrayFromIpAddressString(host) ?: return null
-    return InetSocketAddress(java.net.InetAddress.getByAddress(bytes), port)
-}
--- a/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
+++ b/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
@@ -9,6 +9,8 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import io.netty.util.concurrent.DefaultThreadFactory
+import io.netty.util.internal.logging.InternalLoggerFactory
+import io.netty.util.internal.logging.JdkLoggerFactory
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -18,7 +20,12 @@
 
 /** A started event loop with its coroutine scope. */
 public class TrafficLoop : AutoCloseable {
-    private val group = NioEventLoopGroup(1, DefaultThreadFactory("traffic", true))
+    private val group: NioEventLoopGroup
+
+    init {
+        configureLibrary()
+        group = NioEventLoopGroup(1, DefaultThreadFactory("traffic", true))
+    }
 
     internal val eventLoop: EventLoop = group.next()
 
@@ -40,3 +47,13 @@
         const val SHUTDOWN_MILLIS = 200L
     }
 }
+
+/** The library's look for a logging framework and for a hardware address takes a third of the start of a process. */
+private fun configureLibrary() {
+    InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE)
+    System.setProperty("io.netty.machineId", MACHINE_ID)
+    System.setProperty("io.netty.processId", ProcessHandle.current().pid().toString())
+}
+
+/** Part of channel ids, which this product compares within one process only. */
+private const val MACHINE_ID = "00:00:00:00:00:00:00:01"
--- a/src/test/kotlin/org/primrosesill/command/CommandsTest.kt
+++ b/src/test/kotlin/org/primrosesill/command/CommandsTest.kt
@@ -12,9 +12,9 @@
 import org.primrosesill.generated.RouterStatus
 import org.primrosesill.generated.UpstreamState
 import org.primrosesill.generated.UpstreamStatus
-import org.primrosesill.http.SocketAddress
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.RouterId
+import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.model.VmId
 import strikt.api.expectThat
--- a/src/test/kotlin/org/primrosesill/http/OperatorProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/OperatorProtocolTest.kt
@@ -17,6 +17,7 @@
 import org.primrosesill.generated.RouterStatus
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.RouterId
+import org.primrosesill.model.SocketAddress
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isA
--- a/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/PeerProtocolTest.kt
@@ -34,6 +34,7 @@
 import org.primrosesill.model.ClaimResource
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.RouterId
+import org.primrosesill.model.SocketAddress
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
--- a/src/test/kotlin/org/primrosesill/standin/StandInProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/standin/StandInProtocolTest.kt
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.TestInstance
-import org.primrosesill.http.SocketAddress
+import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.UpstreamId
 import strikt.api.expectThat
 import strikt.assertions.contains
