Use one upstream client and test the new packages

Cause: the router's calls opened a connection each on the JDK's client, beside the gateway's client over Netty; two clients for upstreams. The tests of the new listener found that the codec drops the length of a request that has chunks as well, and that a late answer and the right one in one segment ended as a broken call.

Change: the JDK's client goes, the router uses the gateway's. A request with two framings is refused; an answer to another request is dropped inside the connection. Tables of cases for the listener, kept connections, the path of a request, the directory, the adapter, routes and the retry bound.

--- a/src/main/kotlin/org/primrosesill/platform/StoreItems.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreItems.kt
@@ -10,6 +10,7 @@
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.PoolId
 import org.primrosesill.model.UpstreamId
+import org.primrosesill.model.parseSocketAddress
 import kotlin.time.Duration.Companion.milliseconds
 
 internal const val OPERATOR_PREFIX = "op/"
@@ -43,6 +44,12 @@
     private fun unusable(error: WireError) = PlatformFact.Unusable(error.toString())
 }
 
+private fun readAddress(entry: WireObject): String {
+    val address = entry.text("address")
+    if (parseSocketAddress(address).isLeft()) entry.refuse("address", "'$address'", "an IP number and a port")
+    return address
+}
+
 private fun readRegistration(key: String, value: String) =
     readWireObject(value, key) { entry ->
         val state = entry.text("state")
@@ -50,7 +57,7 @@
         UpstreamRegistration(
             id = UpstreamId(key.removePrefix(SERVER_PREFIX)),
             pool = PoolId(entry.text("service")),
-            address = entry.text("address"),
+            address = readAddress(entry),
             availabilityZone = AvailabilityZoneId(entry.text("zone")),
             softwareVersion = entry.optionalText("version").orEmpty(),
             slots = entry.integer("max_batch").toInt(),
--- a/src/main/kotlin/org/primrosesill/router/RouterParts.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterParts.kt
@@ -23,7 +23,6 @@
 import org.primrosesill.generated.RouterSettings
 import org.primrosesill.http.loadReportClient
 import org.primrosesill.http.peerClient
-import org.primrosesill.http.upstreamClient
 import org.primrosesill.limit.CustomerOwner
 import org.primrosesill.membership.MemberTable
 import org.primrosesill.membership.MemberTableSettings
@@ -33,6 +32,8 @@
 import org.primrosesill.routing.ReservationTable
 import org.primrosesill.routing.UpstreamTable
 import org.primrosesill.routing.affinityUpstreamSelector
+import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.nettyUpstreamClient
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration.Companion.milliseconds
@@ -65,6 +66,7 @@
                 .takeIf { it.knowsCandidates }
                 ?.mayHaveBeenAliveAt(instant)
         }
+    private val traffic = TrafficLoop()
     private val claimTable = ClaimTable(self.router, self.startedAtMillis, claimSettings, known)
     val voter = ClaimVoter(control, claimTable, { keyClaims }, currentMillis)
     private val claimContext =
@@ -121,7 +123,7 @@
                 slotClaims = slotClaims,
                 selector = selector,
                 reservations = reservations,
-                client = upstreamClient(),
+                client = nettyUpstreamClient(traffic),
                 events = events,
                 metrics = metrics,
                 currentMillis = currentMillis,
@@ -131,6 +133,7 @@
     override fun close() {
         peers.close()
         loadReports.close()
+        traffic.close()
         control.close()
     }
 
--- a/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -190,18 +189,3 @@
         else -> null
     }
 }
-
-/** The codec drops one of two framings; the upstream or a proxy before it may go by the other. */
-private fun hasAmbiguousFraming(head: HttpMessage): Boolean {
-    val encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
-    val lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH)
-    val chunked = encodings.size == 1 && encodings[0].trim().equals("chunked", ignoreCase = true)
-    return when {
-        encodings.isNotEmpty() -> !chunked || lengths.isNotEmpty() || head.protocolVersion() != HttpVersion.HTTP_1_1
-        lengths.isEmpty() -> false
-        else -> lengths.size > 1 || lengths[0].any { it !in '0'..'9' }
-    }
-}
-
-/** A target is passed on as it is, so that it may hold only what a request line can carry. */
-private fun hasPlainTarget(target: String) = target.startsWith('/') && target.all { it in '!'..'~' }
--- a/src/main/kotlin/org/primrosesill/transport/CallerConnections.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnections.kt
@@ -4,7 +4,6 @@
 package org.primrosesill.transport
 
 import io.netty.channel.socket.SocketChannel
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import org.primrosesill.forwarding.RequestHandler
 import java.util.concurrent.atomic.AtomicInteger
@@ -28,7 +27,7 @@
         open += connection
         channel.closeFuture().addListener { open -= connection }
         channel.pipeline().addLast(
-            HttpRequestDecoder(decoderConfig(limits().maximumHeaderBytes)),
+            StrictRequestDecoder(limits().maximumHeaderBytes),
             HttpResponseEncoder(),
             connection,
         )
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -85,9 +85,9 @@
             }
         var reusable = false
         try {
-            connection.send(messageOf(call))
+            connection.send(messageOf(call), call.isAnswer)
             val head =
-                when (val received = withTimeoutOrNull(call.timeout) { headFor(call, connection) }) {
+                when (val received = withTimeoutOrNull(call.timeout) { connection.receive() }) {
                     null -> return ExchangeResult.TimedOut
                     is Inbound.Head -> received.response
                     is Inbound.Broken -> return ExchangeResult.Broken(received.reason)
@@ -143,26 +143,6 @@
             }
         }
 
-    /** Reads and drops answers that belong to earlier requests on the connection. */
-    private suspend fun headFor(call: UpstreamCall, connection: UpstreamConnection): Inbound {
-        while (true) {
-            val part = connection.receive()
-            if (part !is Inbound.Head || call.isAnswer(part.response.headers().toHeaderFields())) return part
-            drain(connection)?.let { return it }
-            connection.expectAnother()
-        }
-    }
-
-    private suspend fun drain(connection: UpstreamConnection): Inbound.Broken? {
-        while (true) {
-            when (val part = connection.receive()) {
-                is Inbound.Broken -> return part
-                is Inbound.End -> return if (part.framed) null else Inbound.Broken("an answer to another request came")
-                else -> continue
-            }
-        }
-    }
-
     private fun answerOf(head: HttpResponse, body: UpstreamBody) =
         UpstreamAnswer(head.status().code(), head.headers().toHeaderFields(), head.status().reasonPhrase(), body)
 
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.primrosesill.model.HeaderFields
 import kotlinx.coroutines.channels.Channel as PartChannel
 
 /** What arrives on a connection. */
@@ -54,6 +55,10 @@
     private var framed = true
     private var failure: String? = null
     private var write: ChannelFuture? = null
+    private var isAnswer: (HeaderFields) -> Boolean = { true }
+
+    /** The answer that is arriving belongs to another request. */
+    private var foreign = false
 
     /** Bytes came that belong to no answer, so that nothing on this connection can be trusted any more. */
     private var tainted = false
@@ -72,8 +77,10 @@
     val isReusable: Boolean
         get() = isOpen && !busy && !decoder.holdsBytes && failure == null && write?.isSuccess == true
 
-    fun send(request: DefaultFullHttpRequest) {
+    /** Sends [request]. An answer for whose fields [isAnswer] does not hold is dropped, and the next one is waited for. */
+    fun send(request: DefaultFullHttpRequest, isAnswer: (HeaderFields) -> Boolean) {
         busy = true
+        this.isAnswer = isAnswer
         uses++
         decoder.headRequest = request.method() == HttpMethod.HEAD
         write = channel.writeAndFlush(request)
@@ -126,7 +133,8 @@
                 message,
             ) || HttpUtil.isContentLengthSet(message) ||
             message.status().code() in BODILESS_STATUSES
-        parts.trySend(Inbound.Head(message))
+        foreign = !isAnswer(message.headers().toHeaderFields())
+        if (!foreign) parts.trySend(Inbound.Head(message))
     }
 
     private fun takeContent(message: HttpContent) {
@@ -134,7 +142,7 @@
         if (isInterim(head)) return
         if (message.decoderResult().isFailure) return broken("the body is not HTTP: ${message.decoderResult().cause()}")
         val content: ByteBuf = message.content()
-        if (content.isReadable) {
+        if (content.isReadable && !foreign) {
             val bytes = content.toBytes()
             queuedBytes += bytes.size
             parts.trySend(Inbound.Body(bytes))
@@ -148,15 +156,11 @@
         // The codec also ends an answer without a length when the connection was reset.
         val reason = failure
         if (reason != null && !framed) return broken(reason)
+        if (foreign) return if (framed) Unit else broken("an answer to another request came")
         busy = false
         parts.trySend(Inbound.End(framed))
     }
 
-    /** Ready for the next answer on this connection after one that belonged to no request. */
-    fun expectAnother() {
-        busy = true
-    }
-
     private fun broken(reason: String) {
         busy = false
         tainted = true
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -0,0 +1,198 @@
+/*
+ * The path of a request over a scripted client, with two upstreams and one route of each kind.
+ */
+package org.primrosesill.forwarding
+
+import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.discovery.UpstreamRegistration
+import org.primrosesill.generated.EventType
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.PoolId
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.model.headerFieldsOf
+import org.primrosesill.placement.Placement
+import org.primrosesill.placement.PlacementResult
+import org.primrosesill.placement.UpstreamActivity
+import org.primrosesill.platform.wireHeaders
+import org.primrosesill.request.ScriptedClient
+import org.primrosesill.request.UpstreamClient
+import org.primrosesill.route.CallerLimits
+import org.primrosesill.route.ClientAccount
+import org.primrosesill.route.PoolDefinition
+import org.primrosesill.route.Route
+import org.primrosesill.route.RouteKind
+import org.primrosesill.route.RouteTable
+import org.primrosesill.route.RouteTarget
+import org.primrosesill.route.ServingConfiguration
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+val desk = PoolId("desk")
+const val KEY = "key-of-the-account"
+
+fun route(
+    prefix: String,
+    kind: RouteKind,
+    resumable: Boolean = false,
+    attempts: Int = 2,
+    timeout: Duration = 2.seconds,
+    anonymous: Boolean = false,
+    targets: List<RouteTarget> = listOf(RouteTarget(desk, 1)),
+) = Route(
+    name = prefix,
+    host = "h.example",
+    pathPrefix = prefix,
+    kind = kind,
+    timeout = timeout,
+    latencyTarget = 100.milliseconds,
+    priority = 1,
+    targets = targets,
+    maximumAttempts = attempts,
+    anonymous = anonymous,
+    promptCached = false,
+    resumable = resumable,
+    pauseTarget = null,
+)
+
+val everyKindOfRoute =
+    listOf(
+        route("/safe/", RouteKind.SAFE),
+        route("/unsafe/", RouteKind.UNSAFE),
+        route("/stream/", RouteKind.STREAM),
+        route("/resumable/", RouteKind.STREAM, resumable = true),
+        route("/short/", RouteKind.SAFE, timeout = 100.milliseconds),
+        route("/open/", RouteKind.SAFE, anonymous = true),
+    )
+
+fun configuration(routes: List<Route> = everyKindOfRoute, version: Long = 1) =
+    ServingConfiguration(
+        version,
+        RouteTable(routes),
+        mapOf(desk to PoolDefinition(desk, "/healthz", 96, coldStart = null, engine = null)),
+        CallerLimits(16_384, 1_000_000, 3.seconds, 15.seconds),
+        listOf(ClientAccount(CustomerId("account"), setOf(KEY), priority = null)),
+    )
+
+fun upstream(id: String, pool: PoolId = desk, zone: String = "a", coldUntilMillis: Long = 0, blocked: String? = null) =
+    KnownUpstream(
+        UpstreamRegistration(
+            UpstreamId(id),
+            pool,
+            "10.0.0.1:80",
+            AvailabilityZoneId(zone),
+            "v1",
+            slots = 6,
+            draining = false,
+            coldFor = Duration.ZERO,
+            startedAtMillis = null,
+        ),
+        coldUntilMillis,
+        blocked,
+    )
+
+fun directory(configuration: ServingConfiguration?, upstreams: List<KnownUpstream>) =
+    DirectoryView(1, configuration, upstreams.groupBy { it.registration.pool })
+
+/** Takes the first upstream that was not tried. */
+val firstUntried =
+    object : Placement {
+        override fun choose(
+            request: org.primrosesill.placement.PlacementRequest,
+            view: DirectoryView,
+        ): PlacementResult =
+            view
+                .eligible(request.pool)
+                .firstOrNull { it.id !in request.excluded }
+                ?.let { PlacementResult.Chosen(it) }
+                ?: PlacementResult.Refused("none", 250.milliseconds)
+    }
+
+class ForwardingFixture(
+    client: UpstreamClient,
+    configuration: ServingConfiguration? = configuration(),
+    upstreams: List<KnownUpstream> = listOf(upstream("u1"), upstream("u2"), upstream("u3")),
+    retryBound: RetryBound = RetryBound(ratio = 10.0, windowMillis = 10_000, fixed = 100),
+    placement: Placement = firstUntried,
+) {
+    constructor(client: ScriptedClient) : this(client as UpstreamClient)
+
+    val events = mutableListOf<Pair<EventType, String>>()
+    private val view = directory(configuration, upstreams)
+    val activity = UpstreamActivity { 0 }
+    val handler =
+        forwarder(
+            ForwarderDependencies(
+                view = { view },
+                awaitConfiguration = { },
+                protocol = wireHeaders(),
+                placement = placement,
+                activity = activity,
+                retries = RetryAllowance(retryBound, { 1 }, { 0 }),
+                client = client,
+                events = { type, _, _, cause -> events += type to cause },
+            ),
+        )
+
+    suspend fun send(
+        target: String,
+        method: String = "POST",
+        headers: HeaderFields = HeaderFields(),
+        body: String = "",
+    ): RecordingAnswer {
+        val fields =
+            headerFieldsOf("Host" to "h.example", "X-Attempt-Id" to "r1", "Authorization" to "Bearer $KEY") + headers
+        val request = InboundRequest(method, target, fields, body.toByteArray(), TimeSource.Monotonic.markNow())
+        return RecordingAnswer().also { handler.handle(request, it) }
+    }
+}
+
+/** Keeps what the caller got. */
+class RecordingAnswer : OutboundAnswer {
+    var head: OutboundHead? = null
+    val body = StringBuilder()
+    var finished = false
+    var aborted = false
+
+    override val started: Boolean get() = head != null
+
+    /** The status, and how the body ended. */
+    val result: String
+        get() =
+            "${head?.status}" +
+                if (aborted) {
+                    " cut"
+                } else if (finished) {
+                    ""
+                } else {
+                    " unfinished"
+                }
+
+    override suspend fun respond(head: OutboundHead, body: ByteArray) {
+        check(!started) { "a second answer" }
+        this.head = head
+        this.body.append(body.decodeToString())
+        finished = true
+    }
+
+    override suspend fun start(head: OutboundHead) {
+        check(!started) { "a second answer" }
+        this.head = head
+    }
+
+    override suspend fun write(bytes: ByteArray) {
+        body.append(bytes.decodeToString())
+    }
+
+    override suspend fun finish() {
+        finished = true
+    }
+
+    override fun abort() {
+        aborted = true
+    }
+}
--- a/src/test/kotlin/org/primrosesill/http/AddedLatencyBenchmark.kt
+++ b/src/test/kotlin/org/primrosesill/http/AddedLatencyBenchmark.kt
@@ -21,6 +21,8 @@
 import org.primrosesill.request.CHAT
 import org.primrosesill.request.Fixture
 import org.primrosesill.request.TOKEN
+import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.nettyUpstreamClient
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
@@ -91,7 +93,7 @@
                     }
                 }.startSuspend(wait = false)
             val upstream = "127.0.0.1:${engine.engine.resolvedConnectors().first().port}"
-            val fixture = Fixture(upstreamClient(), listOf(upstream))
+            val fixture = Fixture(nettyUpstreamClient(TrafficLoop()), listOf(upstream))
             val listener = callerListener("127.0.0.1", 0, fixture.flow)
             val router = "127.0.0.1:${listener.start()}"
             val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
--- a/src/test/kotlin/org/primrosesill/http/CallerListenerTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/CallerListenerTest.kt
@@ -16,6 +16,7 @@
 import org.primrosesill.request.ScriptedClient
 import org.primrosesill.request.TOKEN
 import org.primrosesill.request.stall
+import org.primrosesill.transport.headerOf
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
--- a/src/test/kotlin/org/primrosesill/http/CallerStreamTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/CallerStreamTest.kt
@@ -10,6 +10,11 @@
 import org.primrosesill.request.CHAT
 import org.primrosesill.request.Fixture
 import org.primrosesill.request.TOKEN
+import org.primrosesill.transport.RawConnection
+import org.primrosesill.transport.RawUpstream
+import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.headerOf
+import org.primrosesill.transport.nettyUpstreamClient
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
@@ -150,7 +155,9 @@
                     } finally {
                         if (!head.startsWith("DELETE")) seen += "closed"
                     }
-                }.use { upstream -> run(Fixture(upstreamClient(), listOf(upstream.address)), seen, case) }
+                }.use { upstream ->
+                    run(Fixture(nettyUpstreamClient(TrafficLoop()), listOf(upstream.address)), seen, case)
+                }
             }
         }
 
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/platform/StoreItemsTest.kt
@@ -0,0 +1,150 @@
+/*
+ * What the adapter makes of the store's items. Items that cannot be used are refused with the place of the fault.
+ */
+package org.primrosesill.platform
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.discovery.PlatformFact
+import org.primrosesill.discovery.PlatformItem
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.PoolId
+import org.primrosesill.route.RouteKind
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val SERVER =
+    """{"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","max_batch":96,"state":"ready",
+    "warmup_left_ms":1500,"sequence":4,"born":1700000000000,"phase":"unified"}"""
+
+private const val CONFIGURATION =
+    """{"version":7,"routes":[
+    {"name":"r1","host":"H.example","path_prefix":"/a/","type":"stream","timeout_ms":5000,"target_latency_ms":800,
+     "priority":1,"backends":[{"service":"s","weight":90},{"service":"t","weight":10}],"attempts":1,"anonymous":false,
+     "affinity":true,"resumable":true,"gap_target_ms":400},
+    {"name":"r2","host":"h.example","path_prefix":"/b/","type":"unsafe","timeout_ms":1000,"target_latency_ms":100,
+     "priority":2,"service":"t","attempts":1,"anonymous":true}],
+    "services":[{"name":"s","health_path":"/healthz","max_conns":480,"protocol":"h1","tls":false,"warmup_s":3.0,
+     "warmup_per_s":10.0,"engine":{"max_batch":96,"kv_capacity":216524,"kv_bytes":131072}},
+     {"name":"t","health_path":"/healthz","max_conns":96,"warmup_s":0.0,"warmup_per_s":0.0}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+    "tenants":[{"name":"c","api_keys":["k1","k2"],"priority":1}],"new_field":{}}"""
+
+class StoreItemsTest {
+    private val decoder = storeItemDecoder()
+
+    private fun decode(key: String, value: String) = decoder.decode(PlatformItem(key, 1, value))
+
+    private class Refused(val name: String, val key: String, val value: String, val place: String)
+
+    // Guards against an entry of another writer that sends traffic to a place that is no upstream.
+    @TestFactory
+    fun `an item that cannot be read names its fault`(): List<DynamicTest> =
+        listOf(
+            Refused("bytes", "servers/i", "\u0000\u0001", "servers/i: found text that is not JSON"),
+            Refused("a list", "servers/i", "[]", "servers/i: found another JSON value"),
+            Refused(
+                "no service",
+                "servers/i",
+                SERVER.replace("\"service\":\"s\",", ""),
+                "servers/i.service: found nothing",
+            ),
+            Refused("a number for a text", "servers/i", SERVER.replace("\"a\"", "5"), "servers/i.zone: found 5"),
+            Refused(
+                "a text for a number",
+                "servers/i",
+                SERVER.replace("96", "\"96\""),
+                "servers/i.max_batch: found \"96\"",
+            ),
+            Refused(
+                "an unknown state",
+                "servers/i",
+                SERVER.replace("ready", "asleep"),
+                "servers/i.state: found 'asleep'",
+            ),
+            Refused(
+                "no address",
+                "servers/i",
+                SERVER.replace("10.0.0.1:80", "host:80"),
+                "servers/i.address: found 'host:80'",
+            ),
+            Refused(
+                "an unknown kind of route",
+                "op/config",
+                CONFIGURATION.replace("unsafe", "odd"),
+                "configuration.routes[1].type: found 'odd'",
+            ),
+            Refused(
+                "a key that is no text",
+                "op/config",
+                CONFIGURATION.replace("\"k1\"", "1"),
+                "configuration.tenants[0].api_keys",
+            ),
+        ).map { case ->
+            dynamicTest(case.name) {
+                expectThat(
+                    decode(case.key, case.value),
+                ).isA<PlatformFact.Unusable>().get { reason }.contains(case.place)
+            }
+        }
+
+    // Guards against a field that is taken for another one.
+    @Test
+    fun `an entry of a server becomes a registration`() {
+        val fact = decode("servers/i-1", SERVER)
+        expectThat(fact).isA<PlatformFact.Upstream>().get { registration }.and {
+            get { id.value }.isEqualTo("i-1")
+            get { pool }.isEqualTo(PoolId("s"))
+            get { address }.isEqualTo("10.0.0.1:80")
+            get { slots }.isEqualTo(96)
+            get { draining }.isEqualTo(false)
+            get { coldFor }.isEqualTo(1500.milliseconds)
+            get { startedAtMillis }.isEqualTo(1_700_000_000_000)
+        }
+        expectThat(decode("servers/i-1", SERVER.replace("ready", "draining")))
+            .isA<PlatformFact.Upstream>()
+            .get {
+                registration.draining
+            }.isEqualTo(true)
+    }
+
+    // Guards against a route that is served by the wrong pool, for the wrong time, or to the wrong callers.
+    @Test
+    fun `the configuration becomes routes, pools, limits and accounts`() {
+        val configuration = (decode("op/config", CONFIGURATION) as PlatformFact.Configuration).configuration
+        expectThat(configuration.version).isEqualTo(7)
+        val first = configuration.routes.find("h.example", "/a/x")
+        val second = configuration.routes.find("h.example", "/b/x")
+        expectThat(first?.kind).isEqualTo(RouteKind.STREAM)
+        expectThat(first?.idempotent).isEqualTo(true)
+        expectThat(first?.targets?.map { it.pool.value to it.weight }).isEqualTo(listOf("s" to 90, "t" to 10))
+        expectThat(first?.timeout).isEqualTo(5.seconds)
+        expectThat(first?.pauseTarget).isEqualTo(400.milliseconds)
+        expectThat(second?.idempotent).isEqualTo(false)
+        expectThat(second?.targets?.size).isEqualTo(1)
+        expectThat(configuration.pools[PoolId("s")]?.coldStart?.requestsPerSecond).isEqualTo(10.0)
+        expectThat(configuration.pools[PoolId("t")]?.coldStart).isNull()
+        expectThat(configuration.limits.idleTimeout).isEqualTo(15.seconds)
+        expectThat(configuration.accountOf("k2")?.customer?.value).isEqualTo("c")
+        expectThat(configuration.accountOf("k3")).isNull()
+    }
+
+    // Guards against a zone that stays in use because its item holds something new.
+    @Test
+    fun `an evacuation is the existence of its item`() {
+        expectThat(decode("op/evacuate/z-1", "anything"))
+            .isA<PlatformFact.ZoneEvacuated>()
+            .get {
+                zone
+            }.isEqualTo(AvailabilityZoneId("z-1"))
+        expectThat(decoder.evacuatedZoneOf("op/evacuate/")).isNull()
+        expectThat(decode("op/other", "{}")).isA<PlatformFact.Unrelated>()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/platform/WireHeadersTest.kt
@@ -0,0 +1,153 @@
+/*
+ * Which header fields pass, and what the others become.
+ */
+package org.primrosesill.platform
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.forwarding.InboundRequest
+import org.primrosesill.forwarding.UpstreamOrder
+import org.primrosesill.model.CustomerId
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.RequestId
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.model.headerFieldsOf
+import org.primrosesill.placement.PromptPart
+import org.primrosesill.placement.ReportedLoad
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+class WireHeadersTest {
+    private val wire = wireHeaders()
+
+    private fun request(fields: HeaderFields) =
+        InboundRequest("POST", "/a", fields, ByteArray(0), TimeSource.Monotonic.markNow())
+
+    private fun order(lastEventId: String? = null) =
+        UpstreamOrder(
+            UpstreamId("i-1"),
+            CustomerId("c"),
+            1_234.milliseconds,
+            urgency = 2,
+            lastEventId,
+            prefixSource = "10.0.0.2:80",
+        )
+
+    private class Case(val name: String, val sent: List<Pair<String, String>>, val passed: List<Pair<String, String>>)
+
+    // Guards against a caller that gives orders in the system's name, and against fields that get lost on the way.
+    @TestFactory
+    fun `fields of the caller pass unless they concern one connection or belong to the system`(): List<DynamicTest> {
+        val reserved =
+            listOf(
+                "X-Tenant",
+                "x-expect-instance",
+                "X-Priority-Class",
+                "X-Expect-Version",
+                "X-Pin-Ms",
+                "X-Kv-Retain",
+                "X-Kv-Backup",
+                "Kv-From",
+                "Kv-Fetch",
+                "X-Deadline-Ms",
+                "Authorization",
+            )
+        val hopByHop =
+            listOf(
+                "Connection",
+                "Keep-Alive",
+                "TE",
+                "Trailer",
+                "Transfer-Encoding",
+                "Upgrade",
+                "Proxy-Connection",
+                "Expect",
+            )
+        return listOf(
+            Case("reserved", reserved.map { it to "caller" }, emptyList()),
+            Case("of one connection", hopByHop.map { it to "x" }, emptyList()),
+            Case(
+                "named by Connection",
+                listOf("Connection" to "close, X-Extra", "X-Extra" to "1", "X-Kept" to "2"),
+                listOf("X-Kept" to "2"),
+            ),
+            Case(
+                "the system's own, named by Connection",
+                listOf("Connection" to "X-Attempt-Id, X-Model", "X-Attempt-Id" to "r", "X-Model" to "m"),
+                listOf("X-Attempt-Id" to "r", "X-Model" to "m"),
+            ),
+            Case(
+                "any other, in order and spelling",
+                listOf("accept" to "a", "X-b" to "1", "X-b" to "2", "Cookie" to "c=d"),
+                listOf("accept" to "a", "X-b" to "1", "X-b" to "2", "Cookie" to "c=d"),
+            ),
+        ).map { case ->
+            dynamicTest(case.name) {
+                val fields = wire.fieldsForUpstream(request(headerFieldsOf(*case.sent.toTypedArray())), order())
+                val own =
+                    listOf(
+                        "X-Deadline-Ms" to "1234",
+                        "X-Expect-Instance" to "i-1",
+                        "X-Tenant" to "c",
+                        "X-Priority-Class" to "2",
+                        "Kv-Fetch" to "10.0.0.2:80",
+                    )
+                expectThat(fields.map { it.name to it.value }).isEqualTo(case.passed + own)
+            }
+        }
+    }
+
+    // Guards against a stream that goes on from the wrong event.
+    @Test
+    fun `the last event of the caller passes until the stream goes on elsewhere`() {
+        val sent = request(headerFieldsOf("Last-Event-Id" to "3"))
+        expectThat(wire.fieldsForUpstream(sent, order()).all("Last-Event-Id")).isEqualTo(listOf("3"))
+        expectThat(wire.fieldsForUpstream(sent, order(lastEventId = "7")).all("Last-Event-Id")).isEqualTo(listOf("7"))
+    }
+
+    // Guards against prompts that are placed by a wrong reading of their parts.
+    @TestFactory
+    fun `a prompt is read whole or not at all`(): List<DynamicTest> =
+        listOf(
+            Triple("1460,80", "5c:800,91:410", listOf(PromptPart("5c", 800), PromptPart("91", 410))),
+            Triple("1460,80", "", emptyList()),
+            Triple("1460", "5c:800", null),
+            Triple("x,80", "5c:800", null),
+            Triple("1460,80", "5c:x", null),
+        ).map { (tokens, parts, expected) ->
+            dynamicTest("'$tokens' and '$parts'") {
+                val described =
+                    wire.describe(
+                        request(headerFieldsOf("X-Token-Usage" to tokens, "X-Prefix-Hash" to parts)),
+                    )
+                expectThat(described.prompt?.parts).isEqualTo(expected)
+            }
+        }
+
+    // Guards against an answer that is passed on or repeated although it says otherwise.
+    @Test
+    fun `an answer says whether it ran, who signed it and how busy its upstream is`() {
+        val ran = wire.describe(200, headerFieldsOf("X-Server-Signature" to "s", "X-Server-Load" to "3,1,8"))
+        expectThat(ran.signed to ran.notRun).isEqualTo(true to false)
+        expectThat(ran.load).isEqualTo(ReportedLoad(3, 1, 8))
+        expectThat(wire.describe(503, headerFieldsOf("X-Not-Executed" to "1")).notRun).isEqualTo(true)
+        expectThat(wire.describe(503, HeaderFields()).notRun).isEqualTo(false)
+        expectThat(wire.describe(421, HeaderFields()).notRun).isEqualTo(true)
+        expectThat(wire.describe(200, headerFieldsOf("Content-Encoding" to "gzip")).encoded).isEqualTo(true)
+        expectThat(wire.describe(200, headerFieldsOf("X-Server-Load" to "3,x,8")).load).isNull()
+    }
+
+    // Guards against an answer to another request.
+    @Test
+    fun `an answer belongs to the request whose id it repeats`() {
+        val id = RequestId("r1")
+        expectThat(wire.belongsTo(id, headerFieldsOf("X-Attempt-Id" to "r1"))).isEqualTo(true)
+        expectThat(wire.belongsTo(id, headerFieldsOf("X-Attempt-Id" to "r2"))).isEqualTo(false)
+        expectThat(wire.belongsTo(id, headerFieldsOf("X-Attempt-Id" to "r1", "X-Attempt-Id" to "r2"))).isEqualTo(false)
+    }
+}
--- a/src/test/kotlin/org/primrosesill/http/RawUpstream.kt
+++ b/src/test/kotlin/org/primrosesill/transport/RawUpstream.kt
@@ -1,7 +1,7 @@
 /*
  * An upstream on a bare socket, which can fail after any byte.
  */
-package org.primrosesill.http
+package org.primrosesill.transport
 
 import java.io.IOException
 import java.net.InetAddress
@@ -33,6 +33,8 @@
 
     fun write(text: String) = socket.getOutputStream().write(text.toByteArray())
 
+    fun close() = socket.close()
+
     /** Closes the connection so that the other side sees a reset. */
     fun reset() {
         socket.setSoLinger(true, 0)
--- a/src/test/kotlin/org/primrosesill/http/UpstreamClientFaultTest.kt
+++ b/src/test/kotlin/org/primrosesill/transport/UpstreamClientFaultTest.kt
@@ -2,13 +2,14 @@
  * What the upstream client reports for a connection that fails at each single byte, against a bare socket. The at-most-
  * once rules stand on it: "not sent" must never be reported once a byte may have arrived.
  */
-package org.primrosesill.http
+package org.primrosesill.transport
 
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.Test
@@ -47,7 +48,11 @@
     )
 
 class UpstreamClientFaultTest {
-    private val client = upstreamClient(connectTimeout = 300.milliseconds)
+    private val loop = TrafficLoop()
+    private val client = nettyUpstreamClient(loop, UpstreamClientSettings(connectTimeout = 300.milliseconds))
+
+    @AfterEach
+    fun close() = loop.close()
 
     /** Returns "not sent", "broken", "timed out", "cut" or "whole". */
     private suspend fun outcome(call: UpstreamCall): String =
