Place prompts by the work that they cause

Cause: prompts went to the first engine in the ranking of their shared parts until its count passed a bound, whatever engines had read. Idempotent requests waited for silent upstreams until their deadline, and requests to a zone that was cut off spent 300 ms on a connection that could not come about.

Change: gateways keep an index of what engines have read and tell each other; a prompt goes where reading, fetching, waiting, failures and distance cost least. Zones from which no gateway is heard are passed over. Cold upstreams get requests within a budget that all gateways share. Idempotent requests leave upstreams that stay silent. Each choice is logged.

--- a/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -21,6 +21,7 @@
         upstream: KnownUpstream,
         answer: UpstreamAnswer,
         caller: OutboundAnswer,
+        promptWasRead: () -> Unit,
     ): AttemptEnd {
         val description = protocol.describe(answer.status, answer.headers)
         val success = answer.status in 200..299
@@ -28,7 +29,7 @@
             description.notRun -> AttemptEnd.NotRun("status ${answer.status}")
             description.encoded -> AttemptEnd.Unknown("the body is encoded")
             !description.signed -> AttemptEnd.Unknown("status ${answer.status} without a signature")
-            success && job.route.kind == RouteKind.STREAM -> stream(job, answer, caller)
+            success && job.route.kind == RouteKind.STREAM -> stream(job, upstream, answer, caller, promptWasRead)
             else -> plain(job, upstream, answer, caller)
         }
     }
@@ -43,18 +44,17 @@
         val end =
             withTimeoutOrNull(job.timeLeft()) { fill(buffer, answer.body) } ?: BodyPart.Cut("the deadline passed")
         if (end is BodyPart.Cut) {
-            return AttemptEnd
-                .Unknown(
-                    end.reason,
-                ).also { dependencies.activity.failed(upstream.id) }
+            dependencies.activity.failed(upstream.id)
+            return AttemptEnd.Unknown(end.reason)
         }
+        if (answer.status >= 500) dependencies.activity.failedRequest(upstream.id)
         if (caller.started) return AttemptEnd.Unknown("the stream went on with status ${answer.status}")
         if (answer.status >= 500 && job.route.idempotent) {
             return AttemptEnd.Failed(headOf(answer), buffer.toByteArray())
         }
         // These statuses promise that the request did not run, which the upstream does not say.
         if (answer.status in PROMISING_STATUSES) return AttemptEnd.Unknown("status ${answer.status} without a promise")
-        dependencies.activity.succeeded(upstream.id)
+        if (answer.status < 500) dependencies.activity.succeeded(upstream.id)
         caller.respond(headOf(answer), buffer.toByteArray())
         return AttemptEnd.Delivered(answer.status)
     }
@@ -67,28 +67,46 @@
         }
     }
 
-    private suspend fun stream(job: ForwardingJob, answer: UpstreamAnswer, caller: OutboundAnswer): AttemptEnd {
+    private suspend fun stream(
+        job: ForwardingJob,
+        upstream: KnownUpstream,
+        answer: UpstreamAnswer,
+        caller: OutboundAnswer,
+        promptWasRead: () -> Unit,
+    ): AttemptEnd {
         val parser = EventStreamParser()
+        var events = 0
         while (true) {
-            val part =
-                withTimeoutOrNull(job.timeLeft()) { answer.body.next() } ?: BodyPart.Cut("the deadline passed")
-            when (part) {
+            when (val part = nextPart(job, answer.body, events)) {
                 is BodyPart.Bytes ->
                     for (event in parser.feed(part.bytes)) {
+                        if (events++ == 0) promptWasRead()
                         if (!caller.started) caller.start(headOf(answer))
                         event.id?.let { job.lastEventId = it }
                         caller.write(event.bytes)
                     }
-                is BodyPart.Cut -> return broken(job, caller, part.reason)
+                is BodyPart.Cut -> {
+                    dependencies.activity.failed(upstream.id)
+                    return broken(job, caller, part.reason)
+                }
                 BodyPart.End -> {
                     if (!caller.started) caller.start(headOf(answer))
                     caller.finish()
+                    dependencies.activity.succeeded(upstream.id)
                     return AttemptEnd.Delivered(answer.status)
                 }
             }
         }
     }
 
+    /** A stream that may go on elsewhere is not left with an upstream that has fallen silent. */
+    private suspend fun nextPart(job: ForwardingJob, body: UpstreamBody, events: Int): BodyPart {
+        val left = job.timeLeft()
+        val patience = if (events == 0) answerPatience(job.route) else pausePatience(job.route)
+        val wait = if (job.route.idempotent) minOf(left, patience) else left
+        return withTimeoutOrNull(wait) { body.next() } ?: BodyPart.Cut("nothing came for $wait")
+    }
+
     private fun broken(job: ForwardingJob, caller: OutboundAnswer, reason: String): AttemptEnd =
         if (caller.started && !job.route.resumable) AttemptEnd.Cut(reason) else AttemptEnd.Unknown(reason)
 
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -12,6 +12,7 @@
 import org.primrosesill.request.ConnectionUse
 import org.primrosesill.request.ExchangeResult
 import org.primrosesill.request.UpstreamCall
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** How an attempt ended. */
@@ -73,6 +74,7 @@
                         return last.or(Failure.NoUpstream(job.pool, placed.reason, placed.retryAfter))
                 }
             val upstream = placement.upstream
+            dependencies.events.record(EventType.REQUEST_ROUTED, job.description.id, upstream.id, placement.basis)
             excluded += upstream.id
             val end = attempt(job, placement, answer)
             record(job, upstream, end)
@@ -92,7 +94,14 @@
     }
 
     private fun place(job: ForwardingJob, excluded: Set<UpstreamId>): PlacementResult {
-        val request = PlacementRequest(job.pool, job.description.prompt, excluded)
+        val request =
+            PlacementRequest(
+                job.pool,
+                job.description.prompt,
+                job.route.latencyTarget,
+                job.request.body.size,
+                excluded,
+            )
         return dependencies.placement.choose(request, dependencies.view())
     }
 
@@ -103,12 +112,12 @@
     ): AttemptEnd {
         val upstream = placement.upstream
         val activity = dependencies.activity
-        activity.started(upstream.id)
+        val prompt = PromptInProgress(placement)
+        activity.started(upstream.id, placement.readTokens)
         try {
+            val call = callTo(job, placement)
             val result =
-                dependencies.client.exchange(
-                    callTo(job, placement),
-                ) { relay.deliver(job, upstream, it, answer) }
+                dependencies.client.exchange(call) { relay.deliver(job, upstream, it, answer) { prompt.wasRead(job) } }
             return when (result) {
                 is ExchangeResult.Answered -> result.value
                 is ExchangeResult.NotSent -> AttemptEnd.NotRun(result.reason).also { activity.failed(upstream.id) }
@@ -116,6 +125,7 @@
                 ExchangeResult.TimedOut -> AttemptEnd.Unknown("no answer in time").also { activity.failed(upstream.id) }
             }
         } finally {
+            prompt.end()
             activity.ended(upstream.id)
         }
     }
@@ -143,13 +153,30 @@
                     .orEmpty(),
             headers = dependencies.protocol.fieldsForUpstream(request, order),
             body = request.body.takeIf { it.isNotEmpty() || "Content-Length" in request.headers },
-            timeout = job.timeLeft().coerceAtLeast(1.milliseconds),
+            timeout = patience(job),
             host = request.headers["Host"].orEmpty(),
             connection = if (job.route.idempotent) ConnectionUse.Kept(MAXIMUM_IDLE) else ConnectionUse.Fresh,
             isAnswer = { dependencies.protocol.belongsTo(job.description.id, it) },
         )
     }
 
+    /** The prompt of one attempt, from the moment it is sent until the engine has read it. */
+    private inner class PromptInProgress(private val placement: PlacementResult.Chosen) {
+        private var reading = true
+
+        /** The first event shows that the engine has read the prompt. */
+        fun wasRead(job: ForwardingJob) {
+            if (!reading) return
+            end()
+            job.description.prompt?.let { dependencies.index.learn(it.sharedPrefixes, placement.upstream.id) }
+        }
+
+        fun end() {
+            if (reading) dependencies.activity.read(placement.upstream.id, placement.readTokens)
+            reading = false
+        }
+    }
+
     private fun outcomeUnknown(job: ForwardingJob, upstream: KnownUpstream, end: AttemptEnd.Unknown): Failure =
         if (job.timeLeft().isPositive()) {
             Failure.OutcomeUnknown(upstream.id, end.reason)
@@ -160,6 +187,12 @@
     private fun refused(upstream: KnownUpstream, end: AttemptEnd.NotRun) =
         Failure.UpstreamRefused(upstream.id, end.reason, RETRY_AFTER)
 
+    /** A request that may run again is not left with an upstream that is silent until its time is over. */
+    private fun patience(job: ForwardingJob): Duration {
+        val left = job.timeLeft().coerceAtLeast(1.milliseconds)
+        return if (job.route.idempotent) minOf(left, answerPatience(job.route)) else left
+    }
+
     private fun overRetryBudget(job: ForwardingJob) =
         Failure.NoUpstream(job.pool, "the retry budget is used up", RETRY_AFTER)
 
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -12,6 +12,7 @@
 import org.primrosesill.model.Failure
 import org.primrosesill.model.PoolId
 import org.primrosesill.placement.Placement
+import org.primrosesill.placement.PrefixIndex
 import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.request.UpstreamClient
 import org.primrosesill.route.ClientAccount
@@ -28,6 +29,7 @@
     public val protocol: ForwardingProtocol,
     public val placement: Placement,
     public val activity: UpstreamActivity,
+    public val index: PrefixIndex,
     public val retries: RetryAllowance,
     public val client: UpstreamClient,
     public val events: ForwardingEvents,
--- a/src/main/kotlin/org/primrosesill/forwarding/RetryAllowance.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/RetryAllowance.kt
@@ -6,6 +6,7 @@
 package org.primrosesill.forwarding
 
 import org.primrosesill.model.PoolId
+import org.primrosesill.placement.FleetMembers
 
 /**
  * The bound for the whole fleet.
@@ -19,7 +20,7 @@
 /** Owned by the traffic thread. Times are milliseconds of a steady clock. */
 public class RetryAllowance(
     private val bound: RetryBound,
-    private val routers: () -> Int,
+    private val members: () -> FleetMembers,
     private val nowMillis: () -> Long,
 ) {
     private val pools = HashMap<PoolId, Window>()
@@ -35,13 +36,17 @@
         val now = nowMillis()
         window.requests.dropBefore(now - bound.windowMillis)
         window.sends.dropBefore(now - bound.windowMillis)
-        // Half is held back for sends of routers that ended lately, whose successors know nothing of them.
-        val own = bound.fixed * FIXED_PART / maxOf(1, routers())
-        if (window.sends.size + 1 > bound.ratio * RATIO_PART * window.requests.size + own) return false
+        if (window.sends.size + 1 > bound.ratio * RATIO_PART * window.requests.size + fixedPart()) return false
         window.sends.add(now)
         return true
     }
 
+    /** Half is held back for sends of routers that ended lately, whose successors know nothing of them. */
+    private fun fixedPart(): Double {
+        val fleet = members()
+        return if (fleet.settled) bound.fixed * FIXED_PART / (fleet.others.size + 1) else 0.0
+    }
+
     private fun window(pool: PoolId) = pools.getOrPut(pool) { Window() }
 
     private class Window {
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -30,7 +30,10 @@
         round.addresses.filter { it !in waiting }.forEach { address ->
             waiting += address
             scope.launch {
-                client.exchange(address, round.message).onRight(::take)
+                client
+                    .exchange(address, round.message)
+                    .onLeft { if (it.refused) fleet.reached(address, nowMillis()) }
+                    .onRight(::take)
                 waiting -= address
             }
         }
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -7,35 +7,47 @@
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
 import org.primrosesill.exchange.PartTable
+import org.primrosesill.exchange.PlannedExchange
 import org.primrosesill.exchange.planFullMesh
 import org.primrosesill.exchange.planProbes
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.generated.PrefixNews
 import org.primrosesill.generated.RouterPart
 import org.primrosesill.membership.MemberChange
 import org.primrosesill.membership.MemberTable
 import org.primrosesill.membership.MemberTableSettings
 import org.primrosesill.model.UpstreamId
+import org.primrosesill.placement.FleetLoad
+import org.primrosesill.placement.FleetMembers
+import org.primrosesill.placement.PrefixHolding
+import org.primrosesill.placement.PrefixId
 
-/** What the traffic of this gateway counts, as the exchange carries it. */
-internal fun interface OwnCounts {
+/** What the traffic of this gateway knows, as the exchange carries it. */
+internal interface OwnNews {
     fun inFlight(): Map<UpstreamId, Int>
+
+    fun prefixes(): List<PrefixHolding>
+
+    fun accept(prefixes: List<PrefixHolding>)
 }
 
 /** Published for traffic. */
-internal class FleetView(val gateways: Int, val othersInFlight: Map<UpstreamId, Int>)
+internal class FleetView(val members: FleetMembers, val load: FleetLoad)
 
 /** Owned by the control thread. Times are milliseconds of a steady clock. */
 internal class Fleet(
     self: Member,
-    seeds: Set<String>,
-    private val ownCounts: OwnCounts,
+    private val seeds: Set<String>,
+    private val news: OwnNews,
     private val events: EventLog,
+    private val startedAtMillis: Long,
 ) {
     private val members = MemberTable(self, seeds, expectsVmList = false, MEMBER_SETTINGS)
     private val parts = PartTable(self.router, PART_EXPIRY_MILLIS)
+    private val memory = FleetMemory(self.availabilityZone)
     private var round = 0L
 
     /** Starts a round: whom to send to, and what. */
@@ -43,30 +55,59 @@
         round++
         val self = members.self()
         members.updateSelf(self.copy(heartbeat = self.heartbeat + 1))
-        val planned = planFullMesh(round, self.router, members.live()).map { it.peer.address }
+        val planned = (nearPeers() + farPeers()).map { it.peer.address }
         val probes = planProbes(round, members.silentAddresses())
         return FleetRound((planned + probes).distinct(), message(revision))
     }
 
+    private fun nearPeers(): List<PlannedExchange> {
+        val self = members.self()
+        return planFullMesh(round, self.router, members.live().filter { it.availabilityZone == self.availabilityZone })
+    }
+
+    /** Bytes between zones cost more, so that other zones are told in every second round only. */
+    private fun farPeers(): List<PlannedExchange> {
+        if (round % 2 != 0L) return emptyList()
+        val self = members.self()
+        return planFullMesh(round / 2, self.router, members.live())
+            .filter { it.peer.availabilityZone != self.availabilityZone }
+    }
+
     /** What this gateway tells in an exchange. */
     fun message(revision: Long): ExchangeMessage {
-        val inFlight = ownCounts.inFlight().filterValues { it > 0 }.mapKeys { it.key.value }
-        return ExchangeMessage(round, listOf(RouterPart(members.self(), revision, inFlight = inFlight)))
+        val inFlight = news.inFlight().mapKeys { it.key.value }
+        val prefixes = news.prefixes().map { PrefixNews(it.prefix.value.toString(RADIX), it.upstream) }
+        return ExchangeMessage(
+            round,
+            listOf(RouterPart(members.self(), revision, inFlight = inFlight)),
+            prefixes = prefixes.ifEmpty { null },
+        )
     }
 
     fun take(message: ExchangeMessage, nowMillis: Long) {
         for (part in message.parts) {
             record(members.observe(part.member, nowMillis))
             parts.merge(part, nowMillis)
+            memory.heard(part.member, nowMillis)
         }
+        news.accept(message.prefixes.orEmpty().mapNotNull(::holding))
     }
 
+    /** Takes that a gateway's VM answered, though the gateway itself did not. */
+    fun reached(address: String, nowMillis: Long) = memory.reached(address, nowMillis)
+
     /** Says in the next exchange that this gateway is stopping. */
     fun leave() = members.updateSelf(members.self().copy(state = MemberState.LEAVING))
 
     fun tick(nowMillis: Long) = record(members.tick(nowMillis))
 
-    fun view(nowMillis: Long) = FleetView(members.live().size, parts.inFlight(nowMillis))
+    fun view(nowMillis: Long): FleetView {
+        val live = members.live().mapTo(HashSet()) { it.router } - members.self().router
+        val others = memory.recent(nowMillis) + live
+        val settled = nowMillis - startedAtMillis > SETTLING_MILLIS || memory.heardAll(seeds)
+        val load = FleetLoad(parts.inFlight(nowMillis), memory.silentZones(nowMillis))
+        return FleetView(FleetMembers(members.self().router, others, settled), load)
+    }
 
     /** Returns a gateway that knows more of the platform's items than [revision], or null. */
     fun ahead(revision: Long): Member? =
@@ -90,6 +131,8 @@
         }
 
     private companion object {
+        /** Until then some gateways may not have been heard. */
+        const val SETTLING_MILLIS = 3_000L
         const val PART_EXPIRY_MILLIS = 1_500L
 
         /** Budgets are divided by the number of gateways, so that one that was cut off still counts for a while. */
@@ -97,4 +140,9 @@
     }
 }
 
+private const val RADIX = 36
+
+private fun holding(news: PrefixNews): PrefixHolding? =
+    news.prefix.toLongOrNull(RADIX)?.let { PrefixHolding(PrefixId(it), news.upstream) }
+
 internal class FleetRound(val addresses: List<String>, val message: ExchangeMessage)
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/gateway/FleetMemory.kt
@@ -0,0 +1,51 @@
+/*
+ * Which gateways were heard lately, and from which zones.
+ */
+package org.primrosesill.gateway
+
+import org.primrosesill.generated.Member
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.RouterId
+
+/** Owned by the control thread. Times are milliseconds of a steady clock. */
+internal class FleetMemory(private val ownZone: AvailabilityZoneId) {
+    private val heard = HashMap<RouterId, Long>()
+    private val zones = HashMap<AvailabilityZoneId, Long>()
+    private val zoneOfAddress = HashMap<String, AvailabilityZoneId>()
+
+    fun heard(member: Member, nowMillis: Long) {
+        heard[member.router] = nowMillis
+        zoneOfAddress[member.address] = member.availabilityZone
+        zones[member.availabilityZone] = nowMillis
+    }
+
+    /** Takes that the VM at [address] answered: its zone can be reached. */
+    fun reached(address: String, nowMillis: Long) {
+        zoneOfAddress[address]?.let { zones[it] = nowMillis }
+    }
+
+    /** The gateways that may be alive. One that was cut off goes on to spend its part of each budget. */
+    fun recent(nowMillis: Long): Set<RouterId> {
+        heard.values.removeIf { nowMillis - it > MEMORY_MILLIS }
+        return heard.keys.toSet()
+    }
+
+    fun heardAll(addresses: Set<String>): Boolean = zoneOfAddress.keys.containsAll(addresses)
+
+    /** Other zones from which nothing was heard lately, though it was before. */
+    fun silentZones(nowMillis: Long): Set<AvailabilityZoneId> =
+        zones
+            .filter { it.key != ownZone && nowMillis - it.value in SILENCE_MILLIS..FORGOTTEN_MILLIS }
+            .keys
+            .toSet()
+
+    private companion object {
+        const val MEMORY_MILLIS = 10_000L
+
+        /** Two exchanges with other zones without a word. */
+        const val SILENCE_MILLIS = 1_200L
+
+        /** After that time a zone without gateways is no longer taken for one that is cut off. */
+        const val FORGOTTEN_MILLIS = 30_000L
+    }
+}
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -20,8 +20,16 @@
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
 import org.primrosesill.model.RouterId
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.placement.ColdStartBound
+import org.primrosesill.placement.ColdStartBudget
+import org.primrosesill.placement.FleetLoad
+import org.primrosesill.placement.FleetMembers
+import org.primrosesill.placement.PlacementInputs
+import org.primrosesill.placement.PrefixHolding
+import org.primrosesill.placement.PrefixIndex
 import org.primrosesill.placement.UpstreamActivity
-import org.primrosesill.placement.affinityPlacement
+import org.primrosesill.placement.fleetPlacement
 import org.primrosesill.transport.ListenerLimits
 import org.primrosesill.transport.TrafficLoop
 import org.primrosesill.transport.UpstreamClientSettings
@@ -48,11 +56,20 @@
     var stopping = false
 
     private val activity = UpstreamActivity(::steadyMillis)
-    private val fleetView = AtomicReference(FleetView(gateways = 1, othersInFlight = emptyMap()))
+    private val index = PrefixIndex(::steadyMillis)
+    private val self = newMember(settings)
+    private val fleetView =
+        AtomicReference(FleetView(FleetMembers(self.router, emptySet(), settled = false), FleetLoad()))
+    private val coldStart =
+        ColdStartBudget(
+            ColdStartBound(settings.coldStartOverage, settings.coldStartTolerance),
+            { fleetView.get().members },
+            ::steadyMillis,
+        )
     private val client =
         nettyUpstreamClient(loop, UpstreamClientSettings(CONNECT_TIMEOUT, acceptsUnframed = true))
     private val keeper = DirectoryKeeper(UpstreamDirectory(adapter.itemDecoder), events, ::steadyMillis)
-    val fleet = Fleet(newMember(settings), settings.peers.toSet() - settings.peerAddress, activity::counts, events)
+    val fleet = Fleet(self, settings.peers.toSet() - settings.peerAddress, ownNews(), events, steadyMillis())
     val exchange = ExchangeLoop(controlScope, fleet, keeper, PeerClient(client), ::steadyMillis)
     val platformLoop = PlatformLoop(adapter.feed(settings.platformAddress, client), keeper, ::watchTime)
     val peerHandler = PeerHandler(exchange, control.dispatcher)
@@ -63,10 +80,10 @@
                 view = keeper::view,
                 awaitConfiguration = keeper::awaitConfiguration,
                 protocol = adapter.protocol,
-                placement =
-                    affinityPlacement(settings.availabilityZone, activity) { fleetView.get().othersInFlight },
+                placement = fleetPlacement(placementInputs()),
                 activity = activity,
-                retries = RetryAllowance(retryBound(settings), { fleetView.get().gateways }, ::steadyMillis),
+                index = index,
+                retries = RetryAllowance(retryBound(settings), { fleetView.get().members }, ::steadyMillis),
                 client = client,
                 events = { type, request, upstream, cause ->
                     events.record(type, cause, EventSubject(request = request, upstream = upstream))
@@ -101,7 +118,35 @@
 
     /** All gateways together start a watch about as often, however many they are; the exchange spreads what one sees. */
     private fun watchTime(): Duration =
-        (WATCH_TIME_FOR_EACH_GATEWAY * fleetView.get().gateways).coerceIn(MINIMUM_WATCH_TIME, MAXIMUM_WATCH_TIME)
+        (
+            WATCH_TIME_FOR_EACH_GATEWAY * (
+                fleetView
+                    .get()
+                    .members.others.size + 1
+            )
+        ).coerceIn(
+            MINIMUM_WATCH_TIME,
+            MAXIMUM_WATCH_TIME,
+        )
+
+    private fun ownNews() =
+        object : OwnNews {
+            override fun inFlight(): Map<UpstreamId, Int> = activity.counts()
+
+            override fun prefixes(): List<PrefixHolding> = index.news()
+
+            override fun accept(prefixes: List<PrefixHolding>) = index.accept(prefixes)
+        }
+
+    private fun placementInputs() =
+        PlacementInputs(
+            zone = settings.availabilityZone,
+            activity = activity,
+            index = index,
+            coldStart = coldStart,
+            fleet = { fleetView.get().load },
+            nowMillis = ::steadyMillis,
+        )
 
     private companion object {
         val CONNECT_TIMEOUT = 300.milliseconds
@@ -114,9 +159,12 @@
 private fun retryBound(settings: GatewaySettings) =
     RetryBound(settings.retryRatio, settings.retryWindowMillis, settings.retryFixed)
 
+/** Ids travel with each exchange; 48 bits are enough to tell incarnations apart. */
+private const val ROUTER_ID_LENGTH = 12
+
 private fun newMember(settings: GatewaySettings) =
     Member(
-        router = RouterId(UUID.randomUUID().toString()),
+        router = RouterId(UUID.randomUUID().toString().takeLast(ROUTER_ID_LENGTH)),
         address = settings.peerAddress,
         availabilityZone = settings.availabilityZone,
         startedAtMillis = System.currentTimeMillis(),
--- a/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
@@ -27,7 +27,7 @@
 internal const val ITEMS_PATH = "/peer/v1/items"
 
 /** Why a call to a peer gave nothing. */
-internal data class PeerFailure(val address: String, val reason: String) {
+internal data class PeerFailure(val address: String, val reason: String, val refused: Boolean = false) {
     override fun toString(): String = "$address: $reason"
 }
 
@@ -62,7 +62,7 @@
             )
         return when (val result = client.exchange(call) { read(address, it) }) {
             is ExchangeResult.Answered -> result.value
-            is ExchangeResult.NotSent -> PeerFailure(address, result.reason).left()
+            is ExchangeResult.NotSent -> PeerFailure(address, result.reason, result.refused).left()
             is ExchangeResult.Broken -> PeerFailure(address, result.reason).left()
             ExchangeResult.TimedOut -> PeerFailure(address, "no answer within $TIMEOUT").left()
         }
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -0,0 +1,91 @@
+/*
+ * Which upstreams may get a request at all, and the choice among them: prompts by the work that they cause, plain requests
+ * by load.
+ */
+package org.primrosesill.placement
+
+import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.model.AvailabilityZoneId
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What a placement reads. */
+public class PlacementInputs(
+    public val zone: AvailabilityZoneId,
+    public val activity: UpstreamActivity,
+    public val index: PrefixIndex,
+    public val coldStart: ColdStartBudget,
+    public val fleet: () -> FleetLoad,
+    public val nowMillis: () -> Long,
+    public val random: Random = Random.Default,
+)
+
+/** Returns the placement over [inputs]. */
+public fun fleetPlacement(inputs: PlacementInputs): Placement = FleetPlacement(inputs)
+
+private class FleetPlacement(private val inputs: PlacementInputs) : Placement {
+    private val activity = inputs.activity
+    private val engines = EnginePlacement(inputs.zone, activity, inputs.index)
+
+    override fun choose(request: PlacementRequest, view: DirectoryView): PlacementResult {
+        val eligible = view.eligible(request.pool).filter { it.id !in request.excluded }
+        if (eligible.isEmpty()) return PlacementResult.Refused("no upstream may take new requests", RETRY_AFTER)
+        val bearing = eligible.filter { mayBear(it, view) }
+        if (bearing.isEmpty()) {
+            return PlacementResult.Refused(
+                "all upstreams are cold and have enough to do",
+                RETRY_AFTER,
+            )
+        }
+        val fleet = inputs.fleet()
+        val candidates = soundest(bearing, fleet)
+        val chosen =
+            request.prompt?.let { engines.choose(request, it, candidates, soundSources(request, view, fleet), fleet) }
+                ?: PlacementResult.Chosen(leastLoaded(candidates, fleet))
+        inputs.coldStart.count(chosen.upstream.id)
+        return chosen
+    }
+
+    private fun mayBear(upstream: KnownUpstream, view: DirectoryView): Boolean {
+        if (!upstream.isCold(inputs.nowMillis())) return true
+        val coldStart =
+            view.configuration
+                ?.pools
+                ?.get(upstream.registration.pool)
+                ?.coldStart ?: return true
+        return inputs.coldStart.hasRoom(upstream.id, coldStart.requestsPerSecond)
+    }
+
+    /** Those that answered lately in zones that are heard, or else what there is. */
+    private fun soundest(upstreams: List<KnownUpstream>, fleet: FleetLoad): List<KnownUpstream> {
+        val reachable =
+            upstreams
+                .filter {
+                    it.registration.availabilityZone !in fleet.silentZones
+                }.ifEmpty { upstreams }
+        return reachable.filterNot { activity.isSuspect(it.id) }.ifEmpty { reachable }
+    }
+
+    /** Engines that are leaving still hand out what they hold. */
+    private fun soundSources(request: PlacementRequest, view: DirectoryView, fleet: FleetLoad): List<KnownUpstream> =
+        view.upstreams[request.pool].orEmpty().filter {
+            it.registration.availabilityZone !in fleet.silentZones && !activity.isSuspect(it.id)
+        }
+
+    private fun leastLoaded(candidates: List<KnownUpstream>, fleet: FleetLoad): KnownUpstream =
+        candidates.shuffled(inputs.random).minBy { upstream ->
+            val inFlight = activity.inFlight(upstream.id) + (fleet.othersInFlight[upstream.id] ?: 0)
+            val remote = if (upstream.registration.availabilityZone == inputs.zone) 0.0 else REMOTE_LOAD
+            inFlight.toDouble() / upstream.registration.slots + remote +
+                activity.failureRate(upstream.id) * FAILURE_LOAD
+        }
+
+    private companion object {
+        val RETRY_AFTER = 300.milliseconds
+
+        /** An upstream of another zone is taken when the one of the own zone has this much more of its places in use. */
+        const val REMOTE_LOAD = 0.3
+        const val FAILURE_LOAD = 2.0
+    }
+}
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
@@ -4,46 +4,68 @@
 package org.primrosesill.placement
 
 import org.primrosesill.model.UpstreamId
+import kotlin.math.exp
 
-/** Owned by the traffic thread. Times are milliseconds of a steady clock. */
+/** Owned by the traffic thread, but for [counts]. Times are milliseconds of a steady clock. */
 public class UpstreamActivity(private val nowMillis: () -> Long) {
     private val records = HashMap<UpstreamId, Record>()
 
     @Volatile
     private var published: Map<UpstreamId, Int> = emptyMap()
 
+    /** Requests of this router in progress by upstream. Safe to call from any thread. */
+    public fun counts(): Map<UpstreamId, Int> = published
+
     /** Requests of this router in progress at [upstream]. */
     public fun inFlight(upstream: UpstreamId): Int = records[upstream]?.inFlight ?: 0
 
-    /** Requests of this router in progress by upstream. Safe to call from any thread. */
-    public fun counts(): Map<UpstreamId, Int> = published
+    /** Prompt tokens that [upstream] is still to read for requests of this router. */
+    public fun unreadTokens(upstream: UpstreamId): Int = records[upstream]?.unreadTokens ?: 0
 
     /** Whether requests should rather go elsewhere, since [upstream] did not answer lately. */
     public fun isSuspect(upstream: UpstreamId): Boolean =
         records[upstream]?.let { it.suspectUntilMillis > nowMillis() } ?: false
 
-    public fun started(upstream: UpstreamId) {
-        record(upstream).inFlight++
+    /** Part of the answers of [upstream] that were failures, with more weight on the latest; 0 without any lately. */
+    public fun failureRate(upstream: UpstreamId): Double = records[upstream]?.failureRate(nowMillis()) ?: 0.0
+
+    /** Counts a request for which [upstream] has [tokens] prompt tokens to read. */
+    public fun started(upstream: UpstreamId, tokens: Int) {
+        val record = record(upstream)
+        record.inFlight++
+        record.unreadTokens += tokens
         publish()
     }
 
+    /** Counts the prompt of a request as read. */
+    public fun read(upstream: UpstreamId, tokens: Int) {
+        record(upstream).unreadTokens -= tokens
+    }
+
     public fun ended(upstream: UpstreamId) {
         record(upstream).inFlight--
         publish()
     }
 
-    /** Records that [upstream] answered with sense. */
+    /** Records that [upstream] answered a request well. */
     public fun succeeded(upstream: UpstreamId) {
-        val record = records[upstream] ?: return
-        record.failures = 0
+        val record = record(upstream)
+        record.failuresInRow = 0
         record.suspectUntilMillis = 0
+        record.observe(failure = 0.0, nowMillis())
+    }
+
+    /** Records that [upstream] answered a request with a failure of its own. */
+    public fun failedRequest(upstream: UpstreamId) {
+        record(upstream).observe(failure = 1.0, nowMillis())
     }
 
     /** Records that [upstream] could not be reached or broke an answer off. */
     public fun failed(upstream: UpstreamId) {
         val record = record(upstream)
-        record.failures++
-        val pause = FIRST_PAUSE_MILLIS shl (record.failures - 1).coerceAtMost(MAXIMUM_DOUBLINGS)
+        record.failuresInRow++
+        record.observe(failure = 1.0, nowMillis())
+        val pause = FIRST_PAUSE_MILLIS shl (record.failuresInRow - 1).coerceAtMost(MAXIMUM_DOUBLINGS)
         record.suspectUntilMillis = nowMillis() + pause
     }
 
@@ -53,19 +75,44 @@
     }
 
     private fun publish() {
-        published = records.mapValues { it.value.inFlight }
+        published = records.filterValues { it.inFlight > 0 }.mapValues { it.value.inFlight }
     }
 
     private fun record(upstream: UpstreamId) = records.getOrPut(upstream) { Record() }
 
     private class Record {
         var inFlight = 0
-        var failures = 0
+        var unreadTokens = 0
+        var failuresInRow = 0
         var suspectUntilMillis = 0L
+        private var failures = 0.0
+        private var answers = 0.0
+        private var observedAtMillis = 0L
+
+        fun observe(failure: Double, nowMillis: Long) {
+            fade(nowMillis)
+            failures += failure
+            answers += 1
+        }
+
+        /** Counted against a few good answers that were not seen, so that one failure alone says little. */
+        fun failureRate(nowMillis: Long): Double {
+            fade(nowMillis)
+            return failures / (answers + ASSUMED_GOOD_ANSWERS)
+        }
+
+        private fun fade(nowMillis: Long) {
+            val factor = exp(-(nowMillis - observedAtMillis) / MEMORY_MILLIS)
+            failures *= factor
+            answers *= factor
+            observedAtMillis = nowMillis
+        }
     }
 
     private companion object {
         const val FIRST_PAUSE_MILLIS = 250L
         const val MAXIMUM_DOUBLINGS = 3
+        const val ASSUMED_GOOD_ANSWERS = 2.0
+        const val MEMORY_MILLIS = 3_000.0
     }
 }
--- a/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
@@ -82,8 +82,12 @@
     /** An answer head arrived, and the receiver returned [value]. */
     public class Answered<T>(public val value: T) : ExchangeResult<T>
 
-    /** No connection came about, so that no byte of the request can have reached the upstream. */
-    public class NotSent(public val reason: String) : ExchangeResult<Nothing>
+    /**
+     * No connection came about, so that no byte of the request can have reached the upstream.
+     *
+     * @property refused whether the VM was reached and refused the connection
+     */
+    public class NotSent(public val reason: String, public val refused: Boolean = false) : ExchangeResult<Nothing>
 
     /** The connection failed before an answer head arrived, and bytes of the request may have reached the upstream. */
     public class Broken(public val reason: String) : ExchangeResult<Nothing>
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -25,6 +26,7 @@
 import org.primrosesill.request.UpstreamBody
 import org.primrosesill.request.UpstreamCall
 import org.primrosesill.request.UpstreamClient
+import java.net.ConnectException
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -81,7 +83,7 @@
         val connection =
             when (val opened = connectionFor(call)) {
                 is Opened.Connection -> opened.connection
-                is Opened.Failed -> return ExchangeResult.NotSent(opened.reason)
+                is Opened.Failed -> return ExchangeResult.NotSent(opened.reason, opened.refused)
             }
         var reusable = false
         try {
@@ -113,10 +115,8 @@
 
     /** A cancelled wait closes the connection that comes about later. */
     private suspend fun connect(address: String): Opened {
-        val target =
-            parseSocketAddress(
-                address,
-            ).fold({ return Opened.Failed(it.toString()) }, { it.toInetSocketAddress() })
+        val parsed = parseSocketAddress(address)
+        val target = parsed.fold({ return Opened.Failed(it.toString()) }, { it.toInetSocketAddress() })
         counter.opened()
         val future = bootstrap.connect(target)
         return suspendCancellableCoroutine { continuation ->
@@ -126,7 +126,7 @@
                 } else if (future.isSuccess) {
                     continuation.resume(Opened.Connection(UpstreamConnection(future.channel())))
                 } else {
-                    continuation.resume(Opened.Failed(future.cause().toString()))
+                    continuation.resume(Opened.Failed(future.cause().toString(), isRefusal(future.cause())))
                 }
             }
             continuation.invokeOnCancellation { future.channel().close() }
@@ -163,9 +163,12 @@
 private sealed interface Opened {
     class Connection(val connection: UpstreamConnection) : Opened
 
-    class Failed(val reason: String) : Opened
+    class Failed(val reason: String, val refused: Boolean = false) : Opened
 }
 
+/** A refusal comes from the VM itself; other failures may mean that it cannot be reached. */
+private fun isRefusal(cause: Throwable): Boolean = cause is ConnectException && cause !is ConnectTimeoutException
+
 private class ConnectionBody(private val connection: UpstreamConnection, private val acceptsUnframed: Boolean) :
     UpstreamBody {
     var ended = false
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -11,10 +11,13 @@
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.PoolId
+import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.model.headerFieldsOf
+import org.primrosesill.placement.FleetMembers
 import org.primrosesill.placement.Placement
 import org.primrosesill.placement.PlacementResult
+import org.primrosesill.placement.PrefixIndex
 import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.platform.wireHeaders
 import org.primrosesill.request.ScriptedClient
@@ -132,7 +135,13 @@
                 protocol = wireHeaders(),
                 placement = placement,
                 activity = activity,
-                retries = RetryAllowance(retryBound, { 1 }, { 0 }),
+                index = PrefixIndex { 0 },
+                retries =
+                    RetryAllowance(
+                        retryBound,
+                        { FleetMembers(RouterId("self"), emptySet(), settled = true) },
+                        { 0 },
+                    ),
                 client = client,
                 events = { type, _, _, cause -> events += type to cause },
             ),
--- a/src/test/kotlin/org/primrosesill/forwarding/RetryAllowanceTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/RetryAllowanceTest.kt
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.model.PoolId
+import org.primrosesill.model.RouterId
+import org.primrosesill.placement.FleetMembers
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
@@ -15,6 +17,9 @@
 private val pool = PoolId("p")
 private const val WINDOW_MILLIS = 10_000L
 
+private fun fleetOf(routers: Int) =
+    FleetMembers(RouterId("self"), (1 until routers).mapTo(HashSet()) { RouterId("other-$it") }, settled = true)
+
 class RetryAllowanceTest {
     /** Requests and sends beyond the first of a whole fleet, as instants. */
     private class Load(val requests: List<Long>, val sends: List<Long>)
@@ -24,13 +29,14 @@
         val random = Random(seed)
         var now = 0L
         val bound = RetryBound(0.2, WINDOW_MILLIS, fixed = 52)
-        val fleet = MutableList(routers) { RetryAllowance(bound, { routers }, { now }) }
+        val members = fleetOf(routers)
+        val fleet = MutableList(routers) { RetryAllowance(bound, { members }, { now }) }
         val requests = mutableListOf<Long>()
         val sends = mutableListOf<Long>()
         while (now < 60_000) {
             now += 1
             if (random.nextDouble() < replacedEachSecond / 1_000) {
-                fleet[random.nextInt(routers)] = RetryAllowance(bound, { routers }, { now })
+                fleet[random.nextInt(routers)] = RetryAllowance(bound, { members }, { now })
             }
             if (random.nextDouble() >= requestsPerSecond / 1_000.0) continue
             val router = fleet[random.nextInt(routers)]
