Learn what engines hold after a start, and gossip in large fleets

A prefix was known only as a whole, and the exchange of all with all would not carry 69 gateways.

Change: the index holds single parts; a gateway that starts asks a peer, or with its peers the engines, what is held. What is known of engines that are gone or started again is dropped. Beyond 12 gateways each round goes to one near and one far gateway, and heartbeats, loads that upstreams state, and news of parts are passed on in short codes.

--- a/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
+++ b/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
@@ -28,6 +28,7 @@
         Field("metricsAddress", addressRule, required = true),
         Field("platformAddress", addressRule, required = true),
         Field("peers", ListRule(addressRule, 0..1_000)),
+        Field("firstStart", FlagRule),
         Field("retryRatio", ratioRule),
         Field("retryWindowMillis", millisRule),
         Field("retryFixed", countRule),
--- a/src/main/kotlin/org/primrosesill/exchange/CompactExchange.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/CompactExchange.kt
@@ -4,7 +4,6 @@
  */
 package org.primrosesill.exchange
 
-import com.dynatrace.hash4j.hashing.Hashing
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.RouterPart
@@ -128,24 +127,14 @@
         return member?.takeIf { age <= MAXIMUM_AGE }?.copy(heartbeat = round - age)
     }
 
-    private fun code(router: RouterId): String =
-        codes.getOrPut(router) {
-            val hash =
-                Hashing
-                    .komihash5_0()
-                    .hashStream()
-                    .putString(router.value)
-                    .asLong
-            String(CharArray(CODE_LENGTH) { ALPHABET[((hash ushr (6 * it)) and 63).toInt()] })
-        }
+    private fun code(router: RouterId): String = codes.getOrPut(router) { shortCode(router.value) }
 
     private class HeldLoad(val load: Int, val round: Long)
 
     private companion object {
-        const val ALPHABET = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+        const val ALPHABET = SHORT_CODE_ALPHABET
 
-        /** 24 bits: with 330 routers two codes are equal once in about 300 fleets, and one of the two then looks lost. */
-        const val CODE_LENGTH = 4
+        const val CODE_LENGTH = SHORT_CODE_LENGTH
         const val ENTRY_LENGTH = CODE_LENGTH + 1
         const val HEARTBEAT_CYCLE = 4
 
--- a/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -24,6 +24,7 @@
         promptWasRead: () -> Unit,
     ): AttemptEnd {
         val description = protocol.describe(answer.status, answer.headers)
+        description.load?.let { dependencies.loads.observe(upstream.id, it.running + it.waiting) }
         val success = answer.status in 200..299
         return when {
             description.notRun -> AttemptEnd.NotRun("status ${answer.status}")
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -168,7 +168,7 @@
         fun wasRead(job: ForwardingJob) {
             if (!reading) return
             end()
-            job.description.prompt?.let { dependencies.index.learn(it.sharedPrefixes, placement.upstream.id) }
+            job.description.prompt?.let { dependencies.index.learn(it.sharedParts, placement.upstream.id) }
         }
 
         fun end() {
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -11,9 +11,10 @@
 import org.primrosesill.generated.EventType
 import org.primrosesill.model.Failure
 import org.primrosesill.model.PoolId
+import org.primrosesill.placement.PartIndex
 import org.primrosesill.placement.Placement
-import org.primrosesill.placement.PrefixIndex
 import org.primrosesill.placement.UpstreamActivity
+import org.primrosesill.placement.UpstreamLoads
 import org.primrosesill.request.UpstreamClient
 import org.primrosesill.route.ClientAccount
 import org.primrosesill.route.Route
@@ -29,7 +30,8 @@
     public val protocol: ForwardingProtocol,
     public val placement: Placement,
     public val activity: UpstreamActivity,
-    public val index: PrefixIndex,
+    public val index: PartIndex,
+    public val loads: UpstreamLoads,
     public val retries: RetryAllowance,
     public val client: UpstreamClient,
     public val events: ForwardingEvents,
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
@@ -23,13 +23,14 @@
     private val directory: UpstreamDirectory,
     private val events: EventLog,
     private val nowMillis: () -> Long,
+    private val published: (DirectoryView) -> Unit,
 ) {
-    private val published = AtomicReference(DirectoryView())
+    private val current = AtomicReference(DirectoryView())
     private val configured = CompletableDeferred<Unit>()
     private var platformError: String? = null
 
     /** What traffic reads. */
-    val view: DirectoryView get() = published.get()
+    val view: DirectoryView get() = current.get()
 
     /** Waits until there is a configuration, or [timeout] is over. Safe to call from any thread. */
     suspend fun awaitConfiguration(timeout: Duration) {
@@ -63,7 +64,8 @@
 
     private fun publish(changes: List<DirectoryChange>, source: String) {
         if (changes.isEmpty() && directory.revision == view.revision) return
-        published.set(directory.view())
+        current.set(directory.view())
+        published(view)
         if (view.configuration != null) configured.complete(Unit)
         changes.forEach { record(it, source) }
     }
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -26,7 +26,13 @@
 
     /** Sends to all planned peers that have answered the round before. */
     fun startRound() {
-        val round = fleet.nextRound(keeper.revision)
+        val round =
+            fleet.nextRound(
+                keeper.revision,
+                keeper.view.upstreams.values
+                    .flatten()
+                    .map { it.id },
+            )
         round.addresses.filter { it !in waiting }.forEach { address ->
             waiting += address
             scope.launch {
@@ -42,7 +48,7 @@
     /** Takes the message of a peer and returns the answer. */
     fun receive(message: ExchangeMessage): ExchangeMessage {
         take(message)
-        return fleet.message(keeper.revision)
+        return fleet.answer(message, keeper.revision)
     }
 
     fun itemsAfter(revision: Long): RelayedItems =
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -1,20 +1,23 @@
 /*
  * What one gateway knows of the others: who they are, what they have in progress, and up to which revision they know the
- * platform's items. Numbers come with the exchange and age; a gateway that was not heard for a while does not count.
+ * platform's items. Heartbeats, loads and what engines have read are passed on from gateway to gateway.
  */
 package org.primrosesill.gateway
 
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
+import org.primrosesill.exchange.FULL_EXCHANGE_GATEWAYS
 import org.primrosesill.exchange.PartTable
-import org.primrosesill.exchange.PlannedExchange
-import org.primrosesill.exchange.planFullMesh
+import org.primrosesill.exchange.SHORT_CODE_LENGTH
+import org.primrosesill.exchange.heartbeatDigest
+import org.primrosesill.exchange.planGossip
 import org.primrosesill.exchange.planProbes
+import org.primrosesill.exchange.readHeartbeatDigest
+import org.primrosesill.exchange.shortCode
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
-import org.primrosesill.generated.PrefixNews
 import org.primrosesill.generated.RouterPart
 import org.primrosesill.membership.MemberChange
 import org.primrosesill.membership.MemberTable
@@ -22,77 +25,56 @@
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.FleetLoad
 import org.primrosesill.placement.FleetMembers
-import org.primrosesill.placement.PrefixHolding
-import org.primrosesill.placement.PrefixId
-
-/** What the traffic of this gateway knows, as the exchange carries it. */
-internal interface OwnNews {
-    fun inFlight(): Map<UpstreamId, Int>
-
-    fun prefixes(): List<PrefixHolding>
-
-    fun accept(prefixes: List<PrefixHolding>)
-}
+import kotlin.random.Random
 
 /** Published for traffic. */
 internal class FleetView(val members: FleetMembers, val load: FleetLoad)
 
+internal class FleetRound(val addresses: List<String>, val message: ExchangeMessage)
+
 /** Owned by the control thread. Times are milliseconds of a steady clock. */
 internal class Fleet(
     self: Member,
     private val seeds: Set<String>,
-    private val news: OwnNews,
+    private val news: TrafficNews,
     private val events: EventLog,
     private val startedAtMillis: Long,
+    private val random: Random,
 ) {
     private val members = MemberTable(self, seeds, expectsVmList = false, MEMBER_SETTINGS)
     private val parts = PartTable(self.router, PART_EXPIRY_MILLIS)
     private val memory = FleetMemory(self.availabilityZone)
+    private val wanted = LinkedHashSet<String>()
     private var round = 0L
 
     /** Starts a round: whom to send to, and what. */
-    fun nextRound(revision: Long): FleetRound {
+    fun nextRound(revision: Long, knownUpstreams: Collection<UpstreamId>): FleetRound {
         round++
+        news.knowUpstreams(knownUpstreams)
         val self = members.self()
         members.updateSelf(self.copy(heartbeat = self.heartbeat + 1))
-        val planned = (nearPeers() + farPeers()).map { it.peer.address }
+        val planned = planGossip(round, self, members.live(), random).map { it.address }
         val probes = planProbes(round, members.silentAddresses())
-        return FleetRound((planned + probes).distinct(), message(revision))
-    }
-
-    private fun nearPeers(): List<PlannedExchange> {
-        val self = members.self()
-        return planFullMesh(round, self.router, members.live().filter { it.availabilityZone == self.availabilityZone })
-    }
-
-    /** Bytes between zones cost more, so that other zones are told in every second round only. */
-    private fun farPeers(): List<PlannedExchange> {
-        if (round % 2 != 0L) return emptyList()
-        val self = members.self()
-        return planFullMesh(round / 2, self.router, members.live())
-            .filter { it.peer.availabilityZone != self.availabilityZone }
-    }
-
-    /** What this gateway tells in an exchange. */
-    fun message(revision: Long): ExchangeMessage {
-        val inFlight = news.inFlight().mapKeys { it.key.value }
-        val prefixes = news.prefixes().map { PrefixNews(it.prefix.value.toString(RADIX), it.upstream) }
-        return ExchangeMessage(
-            round,
-            listOf(RouterPart(members.self(), revision, inFlight = inFlight)),
-            prefixes = prefixes.ifEmpty { null },
-        )
+        return FleetRound((planned + probes).distinct(), message(revision, emptySet()))
     }
 
+    /** Takes the message of a peer. */
     fun take(message: ExchangeMessage, nowMillis: Long) {
         for (part in message.parts) {
-            record(members.observe(part.member, nowMillis))
+            observe(part.member, nowMillis)
             parts.merge(part, nowMillis)
-            memory.heard(part.member, nowMillis)
+            wanted -= shortCode(part.member.router.value)
         }
-        news.accept(message.prefixes.orEmpty().mapNotNull(::holding))
+        val digest = readHeartbeatDigest(message.members, members.live())
+        digest.members.forEach { observe(it, nowMillis) }
+        wanted += digest.unknown
+        news.take(message)
     }
 
+    /** Returns the answer to the message of a peer, with the members that it asks for. */
+    fun answer(message: ExchangeMessage, revision: Long): ExchangeMessage =
+        message(revision, message.wanted.chunked(SHORT_CODE_LENGTH).toSet())
+
     /** Takes that a gateway's VM answered, though the gateway itself did not. */
     fun reached(address: String, nowMillis: Long) = memory.reached(address, nowMillis)
 
@@ -105,7 +87,8 @@
         val live = members.live().mapTo(HashSet()) { it.router } - members.self().router
         val others = memory.recent(nowMillis) + live
         val settled = nowMillis - startedAtMillis > SETTLING_MILLIS || memory.heardAll(seeds)
-        val load = FleetLoad(parts.inFlight(nowMillis), memory.silentZones(nowMillis))
+        val complete = live.size < FULL_EXCHANGE_GATEWAYS
+        val load = FleetLoad(parts.inFlight(nowMillis), complete, memory.silentZones(nowMillis))
         return FleetView(FleetMembers(members.self().router, others, settled), load)
     }
 
@@ -117,6 +100,32 @@
             .maxByOrNull { it.configurationRevision }
             ?.member
 
+    fun self(): Member = members.self()
+
+    /** The other gateways that are alive, in no order. */
+    fun others(): List<Member> = members.live().filter { it.router != members.self().router }
+
+    private fun message(revision: Long, asked: Set<String>): ExchangeMessage {
+        val live = members.live()
+        val self = members.self()
+        val inFlight = if (live.size <= FULL_EXCHANGE_GATEWAYS) news.inFlight() else emptyMap()
+        val introduced = live.filter { it.router != self.router && shortCode(it.router.value) in asked }
+        val parts = listOf(RouterPart(self, revision, inFlight = inFlight)) + introduced.map { RouterPart(it, 0) }
+        return news.addTo(
+            ExchangeMessage(
+                round = round,
+                parts = parts,
+                members = heartbeatDigest(live),
+                wanted = wanted.take(MAXIMUM_WANTED).joinToString(""),
+            ),
+        )
+    }
+
+    private fun observe(member: Member, nowMillis: Long) {
+        memory.heard(member, nowMillis)
+        record(members.observe(member, nowMillis))
+    }
+
     private fun record(changes: List<MemberChange>) =
         changes.forEach { change ->
             val subject = EventSubject(subject = "${change.member.router} at ${change.member.address}")
@@ -134,15 +143,9 @@
         /** Until then some gateways may not have been heard. */
         const val SETTLING_MILLIS = 3_000L
         const val PART_EXPIRY_MILLIS = 1_500L
+        const val MAXIMUM_WANTED = 20
 
-        /** Budgets are divided by the number of gateways, so that one that was cut off still counts for a while. */
-        val MEMBER_SETTINGS = MemberTableSettings(suspicionTimeoutMillis = 5_000, retentionMillis = 60_000)
+        /** In a large fleet a heartbeat takes some rounds to get around. */
+        val MEMBER_SETTINGS = MemberTableSettings(suspicionTimeoutMillis = 6_000, retentionMillis = 60_000)
     }
 }
-
-private const val RADIX = 36
-
-private fun holding(news: PrefixNews): PrefixHolding? =
-    news.prefix.toLongOrNull(RADIX)?.let { PrefixHolding(PrefixId(it), news.upstream) }
-
-internal class FleetRound(val addresses: List<String>, val message: ExchangeMessage)
--- a/src/main/kotlin/org/primrosesill/gateway/FleetMemory.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/FleetMemory.kt
@@ -10,10 +10,17 @@
 /** Owned by the control thread. Times are milliseconds of a steady clock. */
 internal class FleetMemory(private val ownZone: AvailabilityZoneId) {
     private val heard = HashMap<RouterId, Long>()
+    private val heartbeats = HashMap<RouterId, Long>()
     private val zones = HashMap<AvailabilityZoneId, Long>()
     private val zoneOfAddress = HashMap<String, AvailabilityZoneId>()
 
+    /** Takes [member] as some gateway passed it on. Only a heartbeat that is new shows that it is alive. */
     fun heard(member: Member, nowMillis: Long) {
+        val before = heartbeats.put(member.router, member.heartbeat)
+        if (before != null && before >= member.heartbeat) {
+            heartbeats[member.router] = before
+            return
+        }
         heard[member.router] = nowMillis
         zoneOfAddress[member.address] = member.availabilityZone
         zones[member.availabilityZone] = nowMillis
@@ -27,6 +34,7 @@
     /** The gateways that may be alive. One that was cut off goes on to spend its part of each budget. */
     fun recent(nowMillis: Long): Set<RouterId> {
         heard.values.removeIf { nowMillis - it > MEMORY_MILLIS }
+        heartbeats.keys.retainAll(heard.keys)
         return heard.keys.toSet()
     }
 
--- a/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
@@ -36,6 +36,7 @@
 
 private fun startLoops(parts: GatewayParts) {
     parts.controlScope.launch { parts.platformLoop.run() }
+    parts.controlScope.launch { parts.heldPartsLoop.run() }
     parts.controlScope.launchEvery(EXCHANGE_INTERVAL) { parts.exchange.startRound() }
     parts.controlScope.launchEvery(TICK_INTERVAL) { parts.tick() }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -5,7 +5,9 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
 import org.primrosesill.concurrent.ControlThread
+import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.discovery.UpstreamDirectory
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
@@ -20,15 +22,14 @@
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
 import org.primrosesill.model.RouterId
-import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.ColdStartBound
 import org.primrosesill.placement.ColdStartBudget
 import org.primrosesill.placement.FleetLoad
 import org.primrosesill.placement.FleetMembers
+import org.primrosesill.placement.PartIndex
 import org.primrosesill.placement.PlacementInputs
-import org.primrosesill.placement.PrefixHolding
-import org.primrosesill.placement.PrefixIndex
 import org.primrosesill.placement.UpstreamActivity
+import org.primrosesill.placement.UpstreamLoads
 import org.primrosesill.placement.fleetPlacement
 import org.primrosesill.transport.ListenerLimits
 import org.primrosesill.transport.TrafficLoop
@@ -36,6 +37,7 @@
 import org.primrosesill.transport.nettyUpstreamClient
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -56,7 +58,9 @@
     var stopping = false
 
     private val activity = UpstreamActivity(::steadyMillis)
-    private val index = PrefixIndex(::steadyMillis)
+    private val index = PartIndex(::steadyMillis)
+    private val loads = UpstreamLoads(activity, ::steadyMillis)
+    private val news = TrafficNews(activity, loads, index)
     private val self = newMember(settings)
     private val fleetView =
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), settled = false), FleetLoad()))
@@ -68,11 +72,17 @@
         )
     private val client =
         nettyUpstreamClient(loop, UpstreamClientSettings(CONNECT_TIMEOUT, acceptsUnframed = true))
-    private val keeper = DirectoryKeeper(UpstreamDirectory(adapter.itemDecoder), events, ::steadyMillis)
-    val fleet = Fleet(self, settings.peers.toSet() - settings.peerAddress, ownNews(), events, steadyMillis())
-    val exchange = ExchangeLoop(controlScope, fleet, keeper, PeerClient(client), ::steadyMillis)
+    private val keeper = DirectoryKeeper(UpstreamDirectory(adapter.itemDecoder), events, ::steadyMillis, ::follow)
+    private val follower = UpstreamFollower(activity, loads, index, coldStart)
+    private val peers = PeerClient(client)
+    val fleet = Fleet(self, settings.peers.toSet() - settings.peerAddress, news, events, steadyMillis(), Random.Default)
+    val exchange = ExchangeLoop(controlScope, fleet, keeper, peers, ::steadyMillis)
     val platformLoop = PlatformLoop(adapter.feed(settings.platformAddress, client), keeper, ::watchTime)
-    val peerHandler = PeerHandler(exchange, control.dispatcher)
+    val peerHandler = PeerHandler(exchange, news, control.dispatcher)
+    val heldPartsLoop =
+        HeldPartsLoop(settings.firstStart, keeper, fleet, peers, news, exchange::startRound) {
+            adapter.heldParts(it, client)
+        }
 
     val forwarder =
         forwarder(
@@ -83,6 +93,7 @@
                 placement = fleetPlacement(placementInputs()),
                 activity = activity,
                 index = index,
+                loads = loads,
                 retries = RetryAllowance(retryBound(settings), { fleetView.get().members }, ::steadyMillis),
                 client = client,
                 events = { type, request, upstream, cause ->
@@ -109,6 +120,10 @@
         )
     }
 
+    private fun follow(view: DirectoryView) {
+        loop.scope.launch { follower.follow(view) }
+    }
+
     fun tick() {
         val now = steadyMillis()
         keeper.tick()
@@ -129,19 +144,11 @@
             MAXIMUM_WATCH_TIME,
         )
 
-    private fun ownNews() =
-        object : OwnNews {
-            override fun inFlight(): Map<UpstreamId, Int> = activity.counts()
-
-            override fun prefixes(): List<PrefixHolding> = index.news()
-
-            override fun accept(prefixes: List<PrefixHolding>) = index.accept(prefixes)
-        }
-
     private fun placementInputs() =
         PlacementInputs(
             zone = settings.availabilityZone,
             activity = activity,
+            loads = loads,
             index = index,
             coldStart = coldStart,
             fleet = { fleetView.get().load },
--- a/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import org.primrosesill.generated.ExchangeMessage
+import org.primrosesill.generated.HeldParts
 import org.primrosesill.generated.RelayedItems
 import org.primrosesill.http.messageJson
 import org.primrosesill.model.UpstreamId
@@ -25,6 +26,7 @@
 
 internal const val EXCHANGE_PATH = "/peer/v1/exchange"
 internal const val ITEMS_PATH = "/peer/v1/items"
+internal const val HELD_PARTS_PATH = "/peer/v1/held-parts"
 
 /** Why a call to a peer gave nothing. */
 internal data class PeerFailure(val address: String, val reason: String, val refused: Boolean = false) {
@@ -42,6 +44,10 @@
         call(address, "GET", "$ITEMS_PATH?since=$revision", null)
             .flatMap { decode(address, it, RelayedItems.serializer()) }
 
+    /** Asks what engines have read, as far as the peer knows. */
+    suspend fun heldParts(address: String): Either<PeerFailure, HeldParts> =
+        call(address, "GET", HELD_PARTS_PATH, null).flatMap { decode(address, it, HeldParts.serializer()) }
+
     private suspend fun call(
         address: String,
         method: String,
--- a/src/main/kotlin/org/primrosesill/gateway/PeerHandler.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PeerHandler.kt
@@ -15,12 +15,16 @@
 import org.primrosesill.http.messageJson
 import org.primrosesill.model.headerFieldsOf
 
-internal class PeerHandler(private val exchange: ExchangeLoop, private val control: CoroutineDispatcher) :
-    RequestHandler {
+internal class PeerHandler(
+    private val exchange: ExchangeLoop,
+    private val news: TrafficNews,
+    private val control: CoroutineDispatcher,
+) : RequestHandler {
     override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
         when (request.path) {
             EXCHANGE_PATH -> exchange(request, answer)
             ITEMS_PATH -> items(request, answer)
+            HELD_PARTS_PATH -> answer.respond(jsonHead, messageJson.encodeToString(news.allHeldParts()).toByteArray())
             else -> answer.respond(OutboundHead(404))
         }
     }
--- a/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
@@ -48,6 +48,7 @@
         return feed.watch(since, wait()).fold({ it }, { changes ->
             keeper.platformAnswered()
             keeper.take(since, changes, SOURCE)
+            if (changes.items.isNotEmpty()) delay(PAUSE)
             null
         })
     }
@@ -55,6 +56,9 @@
     private companion object {
         const val SOURCE = "the platform"
 
+        /** Changes often come in groups, and each call to the platform costs something. */
+        val PAUSE = 100.milliseconds
+
         /** Entries that lapsed while the platform was away have two seconds to return, counted from its first answer. */
         val RETRY_PAUSE = 200.milliseconds
     }
--- a/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
@@ -31,13 +31,13 @@
  * The prompt that is placed.
  *
  * @property bestHeldTokens most tokens that any engine holds which others can fetch from
- * @property bodyBytes bytes that cross to another zone with the request
+ * @property bytes bytes of the request and, as far as it can be told, of its answer
  */
 internal class PlacedPrompt(
     val promptTokens: Int,
     val bestHeldTokens: Int,
     val latencyTarget: Duration,
-    val bodyBytes: Int,
+    val bytes: Int,
     val zone: AvailabilityZoneId,
 )
 
@@ -64,14 +64,14 @@
     if (candidate.upstream.registration.availabilityZone == prompt.zone) {
         0.0
     } else {
-        CROSSING_COST + prompt.bodyBytes / CROSSING_BYTES_PER_TOKEN
+        CROSSING_COST + prompt.bytes / CROSSING_BYTES_PER_TOKEN
     }
 
 /** Fetching the memory of a token from another engine, against reading the token. */
 private const val FETCHED_TOKEN_COST = 0.18
 
 /** A further request slows down the others at its engine a little. */
-private const val IN_FLIGHT_COST = 50.0
+private const val IN_FLIGHT_COST = 15.0
 
 /** Prompt tokens that an engine reads in a millisecond. */
 private const val READ_TOKENS_PER_MILLISECOND = 35.0
@@ -83,4 +83,4 @@
 
 /** A request to another zone takes longer and may be cut off with it. */
 private const val CROSSING_COST = 30.0
-private const val CROSSING_BYTES_PER_TOKEN = 100.0
+private const val CROSSING_BYTES_PER_TOKEN = 90.0
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -9,11 +9,13 @@
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.UpstreamId
+import java.util.Locale
 
 internal class EnginePlacement(
     private val zone: AvailabilityZoneId,
     private val activity: UpstreamActivity,
-    private val index: PrefixIndex,
+    private val loads: UpstreamLoads,
+    private val index: PartIndex,
 ) {
     /** Returns where the prompt of [request] goes; [candidates] is not empty and holds what may get it. */
     fun choose(
@@ -23,7 +25,7 @@
         sources: List<KnownUpstream>,
         fleet: FleetLoad,
     ): PlacementResult.Chosen {
-        val held = heldTokens(prompt)
+        val held = index.heldTokens(prompt)
         val engines = candidates.map { candidate(it, held, fleet) }
         val open = belowBound(engines)
         val chosen =
@@ -48,34 +50,22 @@
         source: KnownUpstream?,
         engines: List<EngineCandidate>,
         held: Map<UpstreamId, Int>,
-    ): String =
-        "holds ${chosen.heldTokens} of ${prompt.promptTokens} tokens, ${source?.id ?: "no other"} ${source?.let {
-            held[it.id]
-        } ?: 0}, " +
-            "best ${held.values.maxOrNull() ?: 0}, prefix ${prompt.sharedPrefixes.lastOrNull()?.id?.value?.toString(
-                36,
-            )}; " +
-            "${chosen.inFlight} in flight, mean ${engines.sumOf {
-                it.inFlight
-            } / engines.size}; ${engines.size} candidates"
-
-    /** Whether no engine has read all that [prompt] shares with others. */
-    private fun isNew(prompt: Prompt, held: Map<UpstreamId, Int>): Boolean {
-        val longest = prompt.sharedPrefixes.lastOrNull() ?: return false
-        return held.values.none { it >= longest.tokens }
+    ): String {
+        val offered = source?.let { ", ${it.id} offers ${held[it.id] ?: 0}" }.orEmpty()
+        val mean = "%.1f".format(Locale.ROOT, engines.sumOf { it.inFlight }.toDouble() / engines.size)
+        return "holds ${chosen.heldTokens} of ${prompt.promptTokens} tokens$offered, " +
+            "best ${held.values.maxOrNull() ?: 0}, part ${prompt.sharedParts.lastOrNull()?.id}; " +
+            "${chosen.inFlight} in flight, mean $mean of ${engines.size} engines"
     }
 
-    /** Tokens of the longest beginning of [prompt] that each engine has read. */
-    private fun heldTokens(prompt: Prompt): Map<UpstreamId, Int> {
-        val held = HashMap<UpstreamId, Int>()
-        for (prefix in prompt.sharedPrefixes) index.holdersOf(prefix.id).forEach { held[it] = prefix.tokens }
-        return held
-    }
+    /** Whether no engine has read all that [prompt] shares with others. */
+    private fun isNew(prompt: Prompt, held: Map<UpstreamId, Int>): Boolean =
+        prompt.sharedTokens > 0 && held.values.none { it >= prompt.sharedTokens }
 
     private fun candidate(upstream: KnownUpstream, held: Map<UpstreamId, Int>, fleet: FleetLoad) =
         EngineCandidate(
             upstream = upstream,
-            inFlight = activity.inFlight(upstream.id) + (fleet.othersInFlight[upstream.id] ?: 0),
+            inFlight = loads.of(upstream.id, fleet),
             heldTokens = held[upstream.id] ?: 0,
             unreadTokens = activity.unreadTokens(upstream.id),
             failureRate = activity.failureRate(upstream.id),
@@ -101,7 +91,8 @@
         sources: List<KnownUpstream>,
     ): EngineCandidate {
         val best = sources.maxOfOrNull { held[it.id] ?: 0 } ?: 0
-        val placed = PlacedPrompt(prompt.promptTokens, best, request.latencyTarget, request.bodyBytes, zone)
+        val bytes = request.bodyBytes + prompt.maximumAnswerTokens * ANSWER_BYTES_PER_TOKEN
+        val placed = PlacedPrompt(prompt.promptTokens, best, request.latencyTarget, bytes, zone)
         return engines.minWith(compareBy({ engineCost(placed, it) }, { -rank(prompt, it.upstream.id) }))
     }
 
@@ -120,22 +111,17 @@
     }
 
     private fun rank(prompt: Prompt, upstream: UpstreamId): Long {
-        val key =
-            prompt.sharedPrefixes
-                .lastOrNull()
-                ?.id
-                ?.value ?: 0
-        return Hashing
-            .komihash5_0()
-            .hashStream()
-            .putLong(key)
-            .putString(upstream.value)
-            .asLong ushr 2
+        val hash = Hashing.komihash5_0().hashStream()
+        prompt.sharedParts.forEach { hash.putString(it.id.value) }
+        return hash.putString(upstream.value).asLong ushr 2
     }
 
     private companion object {
         const val LOAD_MULTIPLE = 1.6
         const val LOAD_SLACK = 2.5
         const val LEAST_LOADED = 2
+
+        /** Bytes of an event stream for each token, with the text around it. */
+        const val ANSWER_BYTES_PER_TOKEN = 16
     }
 }
--- a/src/main/kotlin/org/primrosesill/placement/FleetLoad.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetLoad.kt
@@ -9,10 +9,12 @@
 /**
  * Immutable.
  *
- * @property othersInFlight requests of all other routers in progress, as of the last exchange
+ * @property othersInFlight requests of other routers in progress, as of the last exchange
+ * @property complete whether [othersInFlight] covers all routers
  * @property silentZones zones from which no router was heard lately, so that they are probably cut off
  */
 public class FleetLoad(
     public val othersInFlight: Map<UpstreamId, Int> = emptyMap(),
+    public val complete: Boolean = true,
     public val silentZones: Set<AvailabilityZoneId> = emptySet(),
 )
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -14,7 +14,8 @@
 public class PlacementInputs(
     public val zone: AvailabilityZoneId,
     public val activity: UpstreamActivity,
-    public val index: PrefixIndex,
+    public val loads: UpstreamLoads,
+    public val index: PartIndex,
     public val coldStart: ColdStartBudget,
     public val fleet: () -> FleetLoad,
     public val nowMillis: () -> Long,
@@ -26,7 +27,7 @@
 
 private class FleetPlacement(private val inputs: PlacementInputs) : Placement {
     private val activity = inputs.activity
-    private val engines = EnginePlacement(inputs.zone, activity, inputs.index)
+    private val engines = EnginePlacement(inputs.zone, activity, inputs.loads, inputs.index)
 
     override fun choose(request: PlacementRequest, view: DirectoryView): PlacementResult {
         val eligible = view.eligible(request.pool).filter { it.id !in request.excluded }
@@ -75,7 +76,7 @@
 
     private fun leastLoaded(candidates: List<KnownUpstream>, fleet: FleetLoad): KnownUpstream =
         candidates.shuffled(inputs.random).minBy { upstream ->
-            val inFlight = activity.inFlight(upstream.id) + (fleet.othersInFlight[upstream.id] ?: 0)
+            val inFlight = inputs.loads.of(upstream.id, fleet)
             val remote = if (upstream.registration.availabilityZone == inputs.zone) 0.0 else REMOTE_LOAD
             inFlight.toDouble() / upstream.registration.slots + remote +
                 activity.failureRate(upstream.id) * FAILURE_LOAD
--- a/src/main/kotlin/org/primrosesill/placement/Prompt.kt
+++ b/src/main/kotlin/org/primrosesill/placement/Prompt.kt
@@ -3,17 +3,14 @@
  */
 package org.primrosesill.placement
 
-import com.dynatrace.hash4j.hashing.Hashing
-
-/** One part of a prompt. Requests whose prompts begin with the same parts share what an engine has read of them. */
-public data class PromptPart(public val id: String, public val tokens: Int)
-
-/** Names a beginning of prompts: the parts up to some point, by a hash of their ids. */
+/** Names a part of prompts. The same part has the same id in all requests. */
 @JvmInline
-public value class PrefixId(public val value: Long)
+public value class PromptPartId(public val value: String) {
+    override fun toString(): String = value
+}
 
-/** A beginning of a prompt that other requests share, with [tokens] tokens in all its parts. */
-public data class SharedPrefix(public val id: PrefixId, public val tokens: Int)
+/** One part of a prompt. Requests whose prompts begin with the same parts share what an engine has read of them. */
+public data class PromptPart(public val id: PromptPartId, public val tokens: Int)
 
 /**
  * The prompt of one request.
@@ -23,16 +20,8 @@
  * @property maximumAnswerTokens tokens to generate, at the most
  */
 public data class Prompt(val parts: List<PromptPart>, val promptTokens: Int, val maximumAnswerTokens: Int) {
-    /** The beginnings that other requests share, from the shortest to the longest. */
-    val sharedPrefixes: List<SharedPrefix> = sharedPrefixesOf(parts)
-}
+    /** The parts that other requests share. */
+    val sharedParts: List<PromptPart> = parts.dropLast(1)
 
-private fun sharedPrefixesOf(parts: List<PromptPart>): List<SharedPrefix> {
-    val hash = Hashing.komihash5_0().hashStream()
-    var tokens = 0
-    return parts.dropLast(1).map { part ->
-        hash.putString(part.id)
-        tokens += part.tokens
-        SharedPrefix(PrefixId(hash.asLong), tokens)
-    }
+    val sharedTokens: Int = sharedParts.sumOf { it.tokens }
 }
--- a/src/main/kotlin/org/primrosesill/platform/StoreFeed.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreFeed.kt
@@ -12,19 +12,10 @@
 import org.primrosesill.discovery.PlatformFeed
 import org.primrosesill.discovery.PlatformItem
 import org.primrosesill.discovery.PlatformListing
-import org.primrosesill.model.HeaderFields
-import org.primrosesill.model.UpstreamId
-import org.primrosesill.request.BodyPart
-import org.primrosesill.request.ConnectionUse
-import org.primrosesill.request.ExchangeResult
-import org.primrosesill.request.UpstreamAnswer
-import org.primrosesill.request.UpstreamCall
 import org.primrosesill.request.UpstreamClient
-import java.io.ByteArrayOutputStream
 import java.net.URLEncoder
 import java.util.Base64
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Returns the store at [address] as a source of items. */
@@ -66,53 +57,19 @@
         }
     }
 
-    private suspend fun read(path: String, timeout: Duration): Either<FeedError, String> {
-        val call =
-            UpstreamCall(
-                upstream = storeId,
-                address = address,
-                method = "GET",
-                path = path,
-                requestId = "",
-                headers = HeaderFields(),
-                body = null,
-                timeout = timeout,
-                connection = ConnectionUse.Kept(MAXIMUM_IDLE),
-            )
-        return when (val result = client.exchange(call, ::readBody)) {
-            is ExchangeResult.Answered -> result.value
-            is ExchangeResult.NotSent -> FeedError.Unavailable(result.reason).left()
-            is ExchangeResult.Broken -> FeedError.Unavailable(result.reason).left()
-            ExchangeResult.TimedOut -> FeedError.Unavailable("no answer within $timeout").left()
-        }
-    }
-
-    private suspend fun readBody(answer: UpstreamAnswer): Either<FeedError, String> {
-        val body = ByteArrayOutputStream()
-        while (true) {
-            when (val part = answer.body.next()) {
-                is BodyPart.Bytes -> body.write(part.bytes)
-                is BodyPart.Cut -> return FeedError.Unavailable(part.reason).left()
-                BodyPart.End -> break
+    private suspend fun read(path: String, timeout: Duration): Either<FeedError, String> =
+        client.get(address, path, timeout).flatMap { answer ->
+            when (answer.status) {
+                200 -> answer.body.right()
+                410 -> FeedError.HistoryGone("the changes are no longer kept").left()
+                else -> FeedError.Unavailable("status ${answer.status}").left()
             }
-            if (body.size() > MAXIMUM_ANSWER_BYTES) return FeedError.Malformed("the answer is too large").left()
         }
-        return when (answer.status) {
-            200 -> body.toString(Charsets.UTF_8).right()
-            410 -> FeedError.HistoryGone("the changes are no longer kept").left()
-            else -> FeedError.Unavailable("status ${answer.status}").left()
-        }
-    }
 
     private class Page(val revision: Long, val items: List<PlatformItem>, val more: Boolean)
 
     private companion object {
-        val storeId = UpstreamId("store")
         val ANSWER_TIMEOUT = 1.seconds
-        val MAXIMUM_IDLE = 500.milliseconds
-
-        /** A page has up to 1 MB of values, and base64 adds a third. */
-        const val MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024
     }
 }
 
--- a/src/main/kotlin/org/primrosesill/platform/UsersPlatform.kt
+++ b/src/main/kotlin/org/primrosesill/platform/UsersPlatform.kt
@@ -3,10 +3,13 @@
  */
 package org.primrosesill.platform
 
+import arrow.core.Either
+import org.primrosesill.discovery.FeedError
 import org.primrosesill.discovery.PlatformFeed
 import org.primrosesill.discovery.PlatformItemDecoder
 import org.primrosesill.forwarding.ForwardingProtocol
 import org.primrosesill.forwarding.PlatformAdapter
+import org.primrosesill.placement.PromptPartId
 import org.primrosesill.request.UpstreamClient
 
 /** Returns the adapter of the users' platform. */
@@ -17,4 +20,9 @@
         override val readinessPath = "/api/readyz"
 
         override fun feed(address: String, client: UpstreamClient): PlatformFeed = storeFeed(address, client)
+
+        override suspend fun heldParts(
+            address: String,
+            client: UpstreamClient,
+        ): Either<FeedError, List<PromptPartId>> = readHeldParts(address, client)
     }
--- a/src/main/kotlin/org/primrosesill/platform/WireHeaders.kt
+++ b/src/main/kotlin/org/primrosesill/platform/WireHeaders.kt
@@ -13,6 +13,7 @@
 import org.primrosesill.model.RequestId
 import org.primrosesill.placement.Prompt
 import org.primrosesill.placement.PromptPart
+import org.primrosesill.placement.PromptPartId
 import org.primrosesill.placement.ReportedLoad
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -132,7 +133,7 @@
     val parts =
         fields[PROMPT_PARTS].orEmpty().split(',').filter { it.isNotBlank() }.map { entry ->
             val count = entry.substringAfter(':', "").trim().toIntOrNull() ?: return null
-            PromptPart(entry.substringBefore(':').trim(), count)
+            PromptPart(PromptPartId(entry.substringBefore(':').trim()), count)
         }
     return Prompt(parts, tokens[0], tokens[1])
 }
--- a/src/main/kotlin/org/primrosesill/platform/WireJson.kt
+++ b/src/main/kotlin/org/primrosesill/platform/WireJson.kt
@@ -77,6 +77,16 @@
             entries?.filterNotNull()?.takeIf { it.size == entries.size }
         } ?: missing(name, "a list of texts")
 
+    /** A list of lists, whose entries are given as texts. */
+    fun rows(name: String): List<List<String>> =
+        read(name, "a list of rows") { value ->
+            val rows =
+                (value as? JsonArray)?.map { row ->
+                    (row as? JsonArray)?.map { (it as? JsonPrimitive)?.content.orEmpty() }
+                }
+            rows?.filterNotNull()?.takeIf { it.size == rows.size }
+        } ?: missing(name, "a list of rows")
+
     /** Ends the reading with an error at the field [name]. */
     fun refuse(name: String, found: Any, allowed: String): Nothing =
         raise.raise(WireError("$place.$name", found.toString(), allowed))
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -15,10 +15,11 @@
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.model.headerFieldsOf
 import org.primrosesill.placement.FleetMembers
+import org.primrosesill.placement.PartIndex
 import org.primrosesill.placement.Placement
 import org.primrosesill.placement.PlacementResult
-import org.primrosesill.placement.PrefixIndex
 import org.primrosesill.placement.UpstreamActivity
+import org.primrosesill.placement.UpstreamLoads
 import org.primrosesill.platform.wireHeaders
 import org.primrosesill.request.ScriptedClient
 import org.primrosesill.request.UpstreamClient
@@ -135,7 +136,8 @@
                 protocol = wireHeaders(),
                 placement = placement,
                 activity = activity,
-                index = PrefixIndex { 0 },
+                index = PartIndex { 0 },
+                loads = UpstreamLoads(activity) { 0 },
                 retries =
                     RetryAllowance(
                         retryBound,
--- a/src/test/kotlin/org/primrosesill/platform/WireHeadersTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/WireHeadersTest.kt
@@ -15,6 +15,7 @@
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.model.headerFieldsOf
 import org.primrosesill.placement.PromptPart
+import org.primrosesill.placement.PromptPartId
 import org.primrosesill.placement.ReportedLoad
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -114,7 +115,11 @@
     @TestFactory
     fun `a prompt is read whole or not at all`(): List<DynamicTest> =
         listOf(
-            Triple("1460,80", "5c:800,91:410", listOf(PromptPart("5c", 800), PromptPart("91", 410))),
+            Triple(
+                "1460,80",
+                "5c:800,91:410",
+                listOf(PromptPart(PromptPartId("5c"), 800), PromptPart(PromptPartId("91"), 410)),
+            ),
             Triple("1460,80", "", emptyList()),
             Triple("1460", "5c:800", null),
             Triple("x,80", "5c:800", null),
