Let one gateway of each zone watch the platform

Change: one gateway of each zone, three at least, watches. The age of the newest view is passed on with the exchange, and others watch as soon as their view gets old. A gateway that learns of a change tells near ones at once. What a peer passes on carries how long the platform has answered, so that entries that lapsed get their time to come back everywhere.

--- a/src/main/kotlin/org/primrosesill/discovery/DirectoryView.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/DirectoryView.kt
@@ -38,6 +38,9 @@
     public val upstreams: Map<PoolId, List<KnownUpstream>> = emptyMap(),
     public val evacuatedZones: Set<AvailabilityZoneId> = emptySet(),
 ) {
+    /** The ids of all upstreams. */
+    public val upstreamIds: Set<UpstreamId> = upstreams.values.flatten().mapTo(HashSet()) { it.id }
+
     /** Returns the upstreams of [pool] that may get new requests. */
     public fun eligible(pool: PoolId): List<KnownUpstream> =
         upstreams[pool].orEmpty().filter { it.blockedBecause == null }
--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -74,6 +74,14 @@
         if (reachableSinceMillis == null) reachableSinceMillis = nowMillis
     }
 
+    /** Takes from a peer since when the platform answers it, or null when it does not. */
+    public fun platformAnswersPeer(sinceMillis: Long?) {
+        reachableSinceMillis = sinceMillis
+    }
+
+    /** How long the platform has answered without a break, or null when it does not. */
+    public fun platformReachableFor(nowMillis: Long): Long? = reachableSinceMillis?.let { nowMillis - it }
+
     /** Records that the platform did not answer. */
     public fun platformFailed() {
         reachableSinceMillis = null
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
@@ -24,9 +24,11 @@
     private val events: EventLog,
     private val nowMillis: () -> Long,
     private val published: (DirectoryView) -> Unit,
+    private val advanced: () -> Unit,
 ) {
     private val current = AtomicReference(DirectoryView())
     private val configured = CompletableDeferred<Unit>()
+    private val freshness = PlatformFreshness()
     private var platformError: String? = null
 
     /** What traffic reads. */
@@ -39,6 +41,11 @@
 
     val revision: Long get() = directory.revision
 
+    /** How long ago this view was the newest one, or null when that was never seen. */
+    val ageMillis: Long? get() = freshness.ageMillis(nowMillis())
+
+    val platformReachableMillis: Long? get() = directory.platformReachableFor(nowMillis())
+
     fun itemsAfter(revision: Long): List<PlatformItem> = directory.itemsAfter(revision)
 
     fun take(listing: PlatformListing, source: String) = publish(directory.applyListing(listing, nowMillis()), source)
@@ -46,10 +53,20 @@
     fun take(since: Long, changes: PlatformChanges, source: String) =
         publish(directory.applyChanges(since, changes, nowMillis()), source)
 
+    /** Takes the items that a peer has passed on. */
+    fun takeFromPeer(since: Long, changes: PlatformChanges, reachableMillis: Long?, source: String) {
+        directory.platformAnswersPeer(reachableMillis?.let { nowMillis() - it })
+        take(since, changes, source)
+    }
+
+    /** Takes what a peer knows of the age of a view. */
+    fun takeAge(peerRevision: Long, ageMillis: Long) = freshness.accept(peerRevision, revision, ageMillis, nowMillis())
+
     fun tick() = publish(directory.tick(nowMillis()), "the clock")
 
     fun platformAnswered() {
         directory.platformAnswered(nowMillis())
+        freshness.prove(nowMillis())
         if (platformError == null) return
         platformError = null
         events.record(EventType.PLATFORM_BACK, "it answers again")
@@ -64,8 +81,10 @@
 
     private fun publish(changes: List<DirectoryChange>, source: String) {
         if (changes.isEmpty() && directory.revision == view.revision) return
+        val before = view.revision
         current.set(directory.view())
         published(view)
+        if (view.revision > before) advanced()
         if (view.configuration != null) configured.complete(Unit)
         changes.forEach { record(it, source) }
     }
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -8,9 +8,12 @@
 import kotlinx.coroutines.launch
 import org.primrosesill.discovery.PlatformChanges
 import org.primrosesill.discovery.PlatformItem
+import org.primrosesill.exchange.FULL_EXCHANGE_GATEWAYS
 import org.primrosesill.generated.ExchangeMessage
+import org.primrosesill.generated.Member
 import org.primrosesill.generated.RelayedItem
 import org.primrosesill.generated.RelayedItems
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs on the control thread. */
@@ -23,57 +26,91 @@
 ) {
     private val waiting = HashSet<String>()
     private var catchingUp = false
+    private var announcing = false
+
+    /** Starts a round after the other. */
+    suspend fun run(): Nothing {
+        while (true) {
+            startRound()
+            delay(if (fleet.size > FULL_EXCHANGE_GATEWAYS) LARGE_FLEET_INTERVAL else SMALL_FLEET_INTERVAL)
+        }
+    }
 
     /** Sends to all planned peers that have answered the round before. */
     fun startRound() {
         val round =
-            fleet.nextRound(
-                keeper.revision,
-                keeper.view.upstreams.values
-                    .flatten()
-                    .map { it.id },
-            )
-        round.addresses.filter { it !in waiting }.forEach { address ->
-            waiting += address
-            scope.launch {
-                client
-                    .exchange(address, round.message)
-                    .onLeft { if (it.refused) fleet.reached(address, nowMillis()) }
-                    .onRight(::take)
-                waiting -= address
-            }
+            fleet.nextRound(keeper)
+        send(round.addresses, round.message)
+    }
+
+    /** Tells some near gateways at once that there is news, and they tell others. */
+    fun announce() {
+        if (announcing) return
+        announcing = true
+        scope.launch {
+            delay(GATHERING)
+            announcing = false
+            send(fleet.nearPeers(ANNOUNCED_PEERS).map { it.address }, fleet.message(keeper))
         }
     }
 
     /** Takes the message of a peer and returns the answer. */
     fun receive(message: ExchangeMessage): ExchangeMessage {
         take(message)
-        return fleet.answer(message, keeper.revision)
+        return fleet.answer(message, keeper)
     }
 
     fun itemsAfter(revision: Long): RelayedItems =
-        RelayedItems(keeper.revision, keeper.itemsAfter(revision).map { RelayedItem(it.key, it.revision, it.value) })
+        RelayedItems(
+            revision = keeper.revision,
+            items = keeper.itemsAfter(revision).map { RelayedItem(it.key, it.revision, it.value) },
+            reachableMillis = keeper.platformReachableMillis ?: -1,
+        )
+
+    private fun send(addresses: List<String>, message: ExchangeMessage) {
+        addresses.filter { it !in waiting }.forEach { address ->
+            waiting += address
+            scope.launch {
+                client
+                    .exchange(address, message)
+                    .onLeft { if (it.refused) fleet.reached(address, nowMillis()) }
+                    .onRight(::take)
+                waiting -= address
+            }
+        }
+    }
 
     private fun take(message: ExchangeMessage) {
         fleet.take(message, nowMillis())
-        if (fleet.ahead(keeper.revision) != null && !catchingUp) scope.launch { catchUp() }
+        val sender = message.parts.firstOrNull() ?: return
+        keeper.takeAge(sender.configurationRevision, message.platformAgeMillis)
+        if (sender.configurationRevision > keeper.revision && !catchingUp) scope.launch { catchUp(sender.member) }
     }
 
-    /** The platform's own answer usually comes first; a gateway that lacks it then asks the peer that is ahead. */
-    private suspend fun catchUp() {
+    private suspend fun catchUp(sender: Member) {
         catchingUp = true
-        delay(PATIENCE)
+        delay(patience())
         val since = keeper.revision
-        fleet.ahead(since)?.let { peer ->
+        (fleet.ahead(since) ?: sender).let { peer ->
             client.items(peer.address, since).onRight { page ->
                 val items = page.items.map { PlatformItem(it.key, it.revision, it.value) }
-                keeper.take(since, PlatformChanges(page.revision, items), "gateway ${peer.address}")
+                val reachable = page.reachableMillis.takeIf { it >= 0 }
+                keeper.takeFromPeer(since, PlatformChanges(page.revision, items), reachable, "gateway ${peer.address}")
             }
         }
         catchingUp = false
     }
 
+    /** A gateway that watches the platform usually hears of a change from it first. */
+    private fun patience(): Duration = if (fleet.reads(keeper.ageMillis)) READER_PATIENCE else Duration.ZERO
+
     private companion object {
-        val PATIENCE = 150.milliseconds
+        val SMALL_FLEET_INTERVAL = 250.milliseconds
+        val LARGE_FLEET_INTERVAL = 500.milliseconds
+        val READER_PATIENCE = 150.milliseconds
+
+        /** Changes often come in groups. */
+        val GATHERING = 20.milliseconds
+        const val ANNOUNCED_PEERS = 3
     }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -22,7 +22,6 @@
 import org.primrosesill.membership.MemberChange
 import org.primrosesill.membership.MemberTable
 import org.primrosesill.membership.MemberTableSettings
-import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.FleetLoad
 import org.primrosesill.placement.FleetMembers
 import kotlin.random.Random
@@ -48,16 +47,28 @@
     private var round = 0L
 
     /** Starts a round: whom to send to, and what. */
-    fun nextRound(revision: Long, knownUpstreams: Collection<UpstreamId>): FleetRound {
+    fun nextRound(keeper: DirectoryKeeper): FleetRound {
         round++
-        news.knowUpstreams(knownUpstreams)
+        news.knowUpstreams(keeper.view.upstreamIds)
         val self = members.self()
         members.updateSelf(self.copy(heartbeat = self.heartbeat + 1))
         val planned = planGossip(round, self, members.live(), random).map { it.address }
         val probes = planProbes(round, members.silentAddresses())
-        return FleetRound((planned + probes).distinct(), message(revision, emptySet()))
+        return FleetRound((planned + probes).distinct(), message(keeper))
     }
 
+    /** What this gateway tells in an exchange. */
+    fun message(keeper: DirectoryKeeper): ExchangeMessage = message(keeper, emptySet())
+
+    /** Returns up to [count] gateways of the own zone, at random. */
+    fun nearPeers(count: Int): List<Member> =
+        others().filter { it.availabilityZone == members.self().availabilityZone }.shuffled(random).take(count)
+
+    /** Whether this gateway watches the platform, when its view is [ageMillis] old. */
+    fun reads(ageMillis: Long?): Boolean = readsPlatform(members.self(), members.live(), ageMillis)
+
+    val size: Int get() = members.live().size
+
     /** Takes the message of a peer. */
     fun take(message: ExchangeMessage, nowMillis: Long) {
         for (part in message.parts) {
@@ -72,8 +83,8 @@
     }
 
     /** Returns the answer to the message of a peer, with the members that it asks for. */
-    fun answer(message: ExchangeMessage, revision: Long): ExchangeMessage =
-        message(revision, message.wanted.chunked(SHORT_CODE_LENGTH).toSet())
+    fun answer(message: ExchangeMessage, keeper: DirectoryKeeper): ExchangeMessage =
+        message(keeper, message.wanted.chunked(SHORT_CODE_LENGTH).toSet())
 
     /** Takes that a gateway's VM answered, though the gateway itself did not. */
     fun reached(address: String, nowMillis: Long) = memory.reached(address, nowMillis)
@@ -97,26 +108,32 @@
         parts
             .parts()
             .filter { it.configurationRevision > revision }
-            .maxByOrNull { it.configurationRevision }
-            ?.member
+            .maxWithOrNull(
+                compareBy(
+                    { it.configurationRevision },
+                    { it.member.availabilityZone == members.self().availabilityZone },
+                ),
+            )?.member
 
     fun self(): Member = members.self()
 
     /** The other gateways that are alive, in no order. */
     fun others(): List<Member> = members.live().filter { it.router != members.self().router }
 
-    private fun message(revision: Long, asked: Set<String>): ExchangeMessage {
+    private fun message(keeper: DirectoryKeeper, asked: Set<String>): ExchangeMessage {
         val live = members.live()
         val self = members.self()
         val inFlight = if (live.size <= FULL_EXCHANGE_GATEWAYS) news.inFlight() else emptyMap()
         val introduced = live.filter { it.router != self.router && shortCode(it.router.value) in asked }
-        val parts = listOf(RouterPart(self, revision, inFlight = inFlight)) + introduced.map { RouterPart(it, 0) }
+        val parts =
+            listOf(RouterPart(self, keeper.revision, inFlight = inFlight)) + introduced.map { RouterPart(it, 0) }
         return news.addTo(
             ExchangeMessage(
                 round = round,
                 parts = parts,
                 members = heartbeatDigest(live),
                 wanted = wanted.take(MAXIMUM_WANTED).joinToString(""),
+                platformAgeMillis = keeper.ageMillis ?: -1,
             ),
         )
     }
--- a/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
@@ -14,7 +14,6 @@
 import org.primrosesill.transport.startHttpListener
 import kotlin.time.Duration.Companion.milliseconds
 
-private val EXCHANGE_INTERVAL = 250.milliseconds
 private val TICK_INTERVAL = 200.milliseconds
 
 /** A started gateway. */
@@ -37,6 +36,6 @@
 private fun startLoops(parts: GatewayParts) {
     parts.controlScope.launch { parts.platformLoop.run() }
     parts.controlScope.launch { parts.heldPartsLoop.run() }
-    parts.controlScope.launchEvery(EXCHANGE_INTERVAL) { parts.exchange.startRound() }
+    parts.controlScope.launch { parts.exchange.run() }
     parts.controlScope.launchEvery(TICK_INTERVAL) { parts.tick() }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -38,9 +38,7 @@
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Milliseconds of a clock that never goes back. */
 internal fun steadyMillis(): Long = System.nanoTime() / 1_000_000
@@ -72,12 +70,19 @@
         )
     private val client =
         nettyUpstreamClient(loop, UpstreamClientSettings(CONNECT_TIMEOUT, acceptsUnframed = true))
-    private val keeper = DirectoryKeeper(UpstreamDirectory(adapter.itemDecoder), events, ::steadyMillis, ::follow)
+    private val keeper: DirectoryKeeper =
+        DirectoryKeeper(
+            UpstreamDirectory(adapter.itemDecoder),
+            events,
+            ::steadyMillis,
+            ::follow,
+        ) { exchange.announce() }
     private val follower = UpstreamFollower(activity, loads, index, coldStart)
     private val peers = PeerClient(client)
     val fleet = Fleet(self, settings.peers.toSet() - settings.peerAddress, news, events, steadyMillis(), Random.Default)
-    val exchange = ExchangeLoop(controlScope, fleet, keeper, peers, ::steadyMillis)
-    val platformLoop = PlatformLoop(adapter.feed(settings.platformAddress, client), keeper, ::watchTime)
+    val exchange: ExchangeLoop = ExchangeLoop(controlScope, fleet, keeper, peers, ::steadyMillis)
+    val platformLoop =
+        PlatformLoop(adapter.feed(settings.platformAddress, client), keeper) { fleet.reads(keeper.ageMillis) }
     val peerHandler = PeerHandler(exchange, news, control.dispatcher)
     val heldPartsLoop =
         HeldPartsLoop(settings.firstStart, keeper, fleet, peers, news, exchange::startRound) {
@@ -131,19 +136,6 @@
         fleetView.set(fleet.view(now))
     }
 
-    /** All gateways together start a watch about as often, however many they are; the exchange spreads what one sees. */
-    private fun watchTime(): Duration =
-        (
-            WATCH_TIME_FOR_EACH_GATEWAY * (
-                fleetView
-                    .get()
-                    .members.others.size + 1
-            )
-        ).coerceIn(
-            MINIMUM_WATCH_TIME,
-            MAXIMUM_WATCH_TIME,
-        )
-
     private fun placementInputs() =
         PlacementInputs(
             zone = settings.availabilityZone,
@@ -157,9 +149,6 @@
 
     private companion object {
         val CONNECT_TIMEOUT = 300.milliseconds
-        val WATCH_TIME_FOR_EACH_GATEWAY = 700.milliseconds
-        val MINIMUM_WATCH_TIME = 2.seconds
-        val MAXIMUM_WATCH_TIME = 15.seconds
     }
 }
 
--- a/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
@@ -1,5 +1,6 @@
 /*
- * Keeps the directory up to date from the platform: lists once, then watches, and lists again when the history is gone.
+ * Keeps the directory up to date from the platform while this gateway is to read it: lists once, then watches, and lists
+ * again when the history is gone.
  */
 package org.primrosesill.gateway
 
@@ -8,29 +9,35 @@
 import org.primrosesill.discovery.PlatformFeed
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
-/**
- * Runs on the control thread.
- *
- * @param wait how long a watch may wait; a connection that fell silent is found out after that time
- */
+/** Runs on the control thread. */
 internal class PlatformLoop(
     private val feed: PlatformFeed,
     private val keeper: DirectoryKeeper,
-    private val wait: () -> Duration,
+    private val reads: () -> Boolean,
 ) {
-    private var listed = false
+    private var historyGone = false
+    private var pause = RETRY_PAUSE
 
     suspend fun run(): Nothing {
         while (true) {
-            val error = if (listed) watch() else list()
-            when (error) {
-                null -> keeper.platformAnswered()
-                is FeedError.HistoryGone -> listed = false
-                else -> {
-                    keeper.platformFailed(error)
-                    delay(RETRY_PAUSE)
-                }
+            when {
+                keeper.revision == 0L || historyGone -> finish(list())
+                reads() -> finish(watch())
+                else -> delay(DUTY_CHECK)
+            }
+        }
+    }
+
+    private suspend fun finish(error: FeedError?) {
+        when (error) {
+            null -> pause = RETRY_PAUSE
+            is FeedError.HistoryGone -> historyGone = true
+            else -> {
+                keeper.platformFailed(error)
+                delay(pause)
+                pause = (pause * 2).coerceAtMost(MAXIMUM_RETRY_PAUSE)
             }
         }
     }
@@ -39,13 +46,13 @@
         feed.list().fold({ it }, { listing ->
             keeper.platformAnswered()
             keeper.take(listing, SOURCE)
-            listed = true
+            historyGone = false
             null
         })
 
     private suspend fun watch(): FeedError? {
         val since = keeper.revision
-        return feed.watch(since, wait()).fold({ it }, { changes ->
+        return feed.watch(since, WATCH_TIME).fold({ it }, { changes ->
             keeper.platformAnswered()
             keeper.take(since, changes, SOURCE)
             if (changes.items.isNotEmpty()) delay(PAUSE)
@@ -55,11 +62,16 @@
 
     private companion object {
         const val SOURCE = "the platform"
+        val DUTY_CHECK = 100.milliseconds
+
+        /** A connection that fell silent is found out after that time. */
+        val WATCH_TIME = 2.seconds
 
         /** Changes often come in groups, and each call to the platform costs something. */
         val PAUSE = 100.milliseconds
 
         /** Entries that lapsed while the platform was away have two seconds to return, counted from its first answer. */
         val RETRY_PAUSE = 200.milliseconds
+        val MAXIMUM_RETRY_PAUSE = 500.milliseconds
     }
 }
