--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/exchange/GossipTest.kt
@@ -0,0 +1,89 @@
+/*
+ * How far and how fast news gets through fleets of several sizes, and what it costs a gateway.
+ */
+package org.primrosesill.exchange
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.RouterId
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
+
+private fun member(number: Int, heartbeat: Long = 1) =
+    Member(
+        RouterId("router-$number"),
+        "10.0.0.$number:80",
+        AvailabilityZoneId("z${number % 3}"),
+        0,
+        heartbeat,
+        MemberState.LIVE,
+    )
+
+class GossipTest {
+    private fun fleet(size: Int) = List(size) { member(it) }
+
+    /** Rounds until news of the first gateway has reached all; a message and its answer carry it both ways. */
+    private fun roundsToAll(size: Int, seed: Int): Int {
+        val live = fleet(size)
+        val random = Random(seed)
+        val informed = hashSetOf(live[0].router)
+        for (round in 1..50) {
+            for (self in live.shuffled(random)) {
+                for (peer in planGossip(round.toLong(), self, live, random)) {
+                    if (self.router in informed || peer.router in informed) informed += listOf(self.router, peer.router)
+                }
+            }
+            if (informed.size == size) return round
+        }
+        return Int.MAX_VALUE
+    }
+
+    // Guards against news that reaches a part of a large fleet late or never.
+    @TestFactory
+    fun `news reaches all gateways in a few rounds`(): List<DynamicTest> =
+        listOf(6 to 2, 8 to 2, 12 to 2, 69 to 12, 84 to 12, 328 to 16).map { (size, rounds) ->
+            dynamicTest("$size gateways") {
+                val worst = (1..20).maxOf { roundsToAll(size, it) }
+                println("$size gateways: at most $worst rounds in 20 trials, seeds 1 to 20")
+                expectThat(worst).isLessThanOrEqualTo(rounds)
+            }
+        }
+
+    // Guards against work of a gateway that grows with the fleet.
+    @TestFactory
+    fun `a gateway of a large fleet sends to two others at the most`(): List<DynamicTest> =
+        listOf(13, 69, 328).map { size ->
+            dynamicTest("$size gateways") {
+                val live = fleet(size)
+                for (round in 1L..10L) {
+                    expectThat(
+                        planGossip(round, live[0], live, Random(1)).size,
+                    ).isLessThanOrEqualTo(2)
+                }
+            }
+        }
+
+    // Guards against heartbeats that are lost or invented on the way.
+    @Test
+    fun `a digest carries newer heartbeats and unknown members`() {
+        val digest = heartbeatDigest(listOf(member(1, 5), member(2, 300_000), member(3, 7)))
+        val news = readHeartbeatDigest(digest, known = listOf(member(1, 6), member(2, 2)))
+        expectThat(news.members.map { it.router.value to it.heartbeat }).isEqualTo(listOf("router-2" to 300_000L))
+        expectThat(news.unknown).isEqualTo(setOf(shortCode("router-3")))
+    }
+
+    // Guards against a message that was cut or garbled and brings down its reader.
+    @Test
+    fun `entries that make no sense are left out`() {
+        val digest = heartbeatDigest(listOf(member(1, 5))) + "????====" + "AB"
+        val news = readHeartbeatDigest(digest, known = listOf(member(1, 2)))
+        expectThat(news.members.map { it.heartbeat }).isEqualTo(listOf(5L))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/gateway/ReaderDutyTest.kt
@@ -0,0 +1,79 @@
+/*
+ * Which gateways watch the platform.
+ */
+package org.primrosesill.gateway
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.RouterId
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+private fun fleet(size: Int, zones: Int) =
+    List(size) {
+        Member(RouterId("router-$it"), "10.0.0.$it:80", AvailabilityZoneId("z${it % zones}"), 0, 1, MemberState.LIVE)
+    }
+
+class ReaderDutyTest {
+    // Guards against calls to the platform that grow with the fleet, and against a zone or fleet without a reader.
+    @TestFactory
+    fun `one gateway of each zone reads, three at least`(): List<DynamicTest> =
+        listOf(
+            Triple(1, 1, 1),
+            Triple(2, 1, 2),
+            Triple(6, 3, 3),
+            Triple(8, 2, 3),
+            Triple(84, 4, 4),
+            Triple(328, 7, 7),
+        ).map { (size, zones, readers) ->
+            dynamicTest("$size gateways in $zones zones") {
+                val live = fleet(size, zones)
+                val reading = live.filter { readsPlatform(it, live, ageMillis = 0) }
+                expectThat(reading.size).isEqualTo(readers)
+                expectThat(reading.map { it.availabilityZone }.toSet().size).isEqualTo(minOf(zones, readers))
+            }
+        }
+
+    // Guards against a fleet that stays blind when its readers are cut off from the platform.
+    @TestFactory
+    fun `others read as soon as their views get old`(): List<DynamicTest> =
+        listOf(6, 84).map { size ->
+            dynamicTest("$size gateways") {
+                val live = fleet(size, 3)
+                val reading =
+                    listOf(0L, 1_800L, 2_200L, 2_800L).map { age ->
+                        live.count { readsPlatform(it, live, age) }
+                    }
+                println("readers at ages 0, 1.8, 2.2 and 2.8 s: $reading")
+                expectThat(reading[0]).isEqualTo(3)
+                expectThat(reading[2] > 3).describedAs("more read at 2.2 s").isEqualTo(true)
+                expectThat(reading[3]).isEqualTo(size)
+            }
+        }
+
+    // Guards against a gateway that waits for others before it knows anything.
+    @Test
+    fun `a gateway without a view reads`() {
+        val live = fleet(84, 3)
+        expectThat(live.count { readsPlatform(it, live, ageMillis = null) }).isEqualTo(84)
+    }
+
+    // Guards against evidence of an older or a newer state than the own one.
+    @TestFactory
+    fun `evidence counts for views that are not newer than the own one`(): List<DynamicTest> =
+        listOf(Triple(5L, 5L, 300L), Triple(4L, 5L, 300L), Triple(6L, 5L, null)).map { (peer, own, age) ->
+            dynamicTest("the peer knows $peer, this gateway $own") {
+                val freshness = PlatformFreshness()
+                freshness.accept(peer, own, ageMillis = 200, nowMillis = 1_000)
+                expectThat(freshness.ageMillis(1_100)).isEqualTo(age)
+                freshness.prove(1_050)
+                expectThat(freshness.ageMillis(1_100) ?: Long.MAX_VALUE).isLessThanOrEqualTo(50)
+            }
+        }
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
@@ -0,0 +1,275 @@
+/*
+ * Replays a load on several routers and a pool of engines in virtual time. Each engine reads one prompt after the other and
+ * keeps every part that it has read. Routers hear of each other with a delay, as over the exchange.
+ */
+package org.primrosesill.placement
+
+import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.forwarding.configuration
+import org.primrosesill.forwarding.upstream
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.PoolId
+import org.primrosesill.model.RouterId
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.route.ColdStart
+import org.primrosesill.route.EnginePool
+import org.primrosesill.route.PoolDefinition
+import org.primrosesill.route.ServingConfiguration
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+val enginePool = PoolId("engines")
+
+/** One request of a load. */
+class ReplayRequest(val atMillis: Long, val router: Int, val prompt: Prompt, val answerMillis: Long)
+
+/** How requests are placed: the product, or a baseline that sees the true load of every engine. */
+enum class Policy { PRODUCT, RANDOM, LEAST_LOAD }
+
+/** What a replay found. */
+class ReplayResult {
+    /** Tokens of shared parts that were read although some engine had read them before. */
+    var tokensReadAgain = 0L
+    var tokensFetched = 0L
+    var late = 0
+    var requests = 0
+
+    /** Requests that reached an engine over twice the mean of the pool, and three. */
+    var overLimit = 0
+
+    /** Requests by engine and second. */
+    val arrivals = HashMap<UpstreamId, MutableList<Long>>()
+    val refused = mutableListOf<Long>()
+}
+
+class ReplayEngine(val upstream: KnownUpstream) {
+    val held = HashSet<PromptPartId>()
+    var freeAtMillis = 0L
+    var inFlight = 0
+    var failureShare = 0.0
+}
+
+class PlacementReplay(
+    private val policy: Policy,
+    routers: Int,
+    engines: List<KnownUpstream>,
+    private val seed: Long = 1,
+    private val exchangeMillis: Long = 350,
+    private val limitMillis: Long = 800,
+) {
+    private val random = Random(seed)
+    private var now = 0L
+    private val engines = engines.associateBy({ it.id }, ::ReplayEngine)
+    private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
+    private var numbers = 0L
+    private val routers = List(routers) { Router(it, routers) }
+    private val readBefore = HashSet<PromptPartId>()
+    private val view =
+        DirectoryView(1, engineConfiguration(), mapOf(enginePool to engines))
+    val result = ReplayResult()
+
+    private class Event(val atMillis: Long, val number: Long, val action: () -> Unit)
+
+    /** The routers' zones are those of the engines in turn. */
+    private inner class Router(number: Int, count: Int) {
+        val zone = AvailabilityZoneId(ZONES[number % ZONES.size])
+        val activity = UpstreamActivity { now }
+        val index = PartIndex { now }
+        val members =
+            FleetMembers(
+                RouterId("router-$number"),
+                (0 until count).filter { it != number }.mapTo(HashSet()) { RouterId("router-$it") },
+                settled = true,
+            )
+        var others: Map<UpstreamId, Int> = emptyMap()
+        val placement =
+            fleetPlacement(
+                PlacementInputs(
+                    zone,
+                    activity,
+                    UpstreamLoads(activity) { now },
+                    index,
+                    ColdStartBudget(ColdStartBound(1.5, 5), { members }, { now }),
+                    { FleetLoad(others) },
+                    { now },
+                    Random(seed + number),
+                ),
+            )
+    }
+
+    fun engine(id: String): ReplayEngine = engines.getValue(UpstreamId(id))
+
+    fun at(millis: Long, action: () -> Unit) {
+        events += Event(millis, numbers++, action)
+    }
+
+    fun play(load: List<ReplayRequest>): ReplayResult {
+        load.forEach { request -> at(request.atMillis) { arrive(request) } }
+        val end = load.maxOf { it.atMillis }
+        for (millis in exchangeMillis..end step exchangeMillis) at(millis) { exchange() }
+        while (events.isNotEmpty()) {
+            val event = events.poll()
+            now = event.atMillis
+            event.action()
+        }
+        return result
+    }
+
+    private fun arrive(request: ReplayRequest) {
+        val router = routers[request.router % routers.size]
+        val chosen =
+            when (policy) {
+                Policy.RANDOM -> PlacementResult.Chosen(engines.values.random(random).upstream)
+                Policy.LEAST_LOAD ->
+                    PlacementResult.Chosen(
+                        engines.values
+                            .shuffled(random)
+                            .minBy { it.inFlight }
+                            .upstream,
+                    )
+                Policy.PRODUCT ->
+                    when (val placed = router.placement.choose(placementRequest(request), view)) {
+                        is PlacementResult.Chosen -> placed
+                        is PlacementResult.Refused -> {
+                            result.refused += now
+                            return
+                        }
+                    }
+            }
+        serve(router, request, chosen)
+    }
+
+    private fun placementRequest(request: ReplayRequest) =
+        PlacementRequest(enginePool, request.prompt, limitMillis.milliseconds, bodyBytes = 4_000, excluded = emptySet())
+
+    private fun serve(router: Router, request: ReplayRequest, chosen: PlacementResult.Chosen) {
+        val engine = engines.getValue(chosen.upstream.id)
+        count(engine)
+        if (random.nextDouble() < engine.failureShare) return router.activity.failedRequest(engine.upstream.id)
+        val read = readTokens(engine, request.prompt, chosen.prefixSource?.let { engines.getValue(it.id) })
+        engine.inFlight++
+        router.activity.started(engine.upstream.id, chosen.readTokens)
+        val firstEvent = maxOf(now, engine.freeAtMillis) + read / READ_TOKENS_PER_MILLISECOND
+        engine.freeAtMillis = firstEvent
+        if (firstEvent - now > limitMillis) result.late++
+        at(firstEvent) {
+            router.activity.read(engine.upstream.id, chosen.readTokens)
+            router.index.learn(request.prompt.sharedParts, engine.upstream.id)
+        }
+        at(firstEvent + request.answerMillis) {
+            engine.inFlight--
+            router.activity.ended(engine.upstream.id)
+            router.activity.succeeded(engine.upstream.id)
+        }
+    }
+
+    private fun count(engine: ReplayEngine) {
+        result.requests++
+        val mean = engines.values.sumOf { it.inFlight }.toDouble() / engines.size
+        if (engine.inFlight > 2 * mean + 3) result.overLimit++
+        result.arrivals.getOrPut(engine.upstream.id) { mutableListOf() } += now
+    }
+
+    private fun readTokens(engine: ReplayEngine, prompt: Prompt, source: ReplayEngine?): Int {
+        var read = prompt.promptTokens - prompt.sharedTokens
+        var usable = true
+        for (part in prompt.sharedParts) {
+            usable = usable && part.id in engine.held
+            if (usable) continue
+            if (source != null && part.id in source.held) {
+                result.tokensFetched += part.tokens
+            } else {
+                read += part.tokens
+                if (!readBefore.add(part.id)) result.tokensReadAgain += part.tokens
+            }
+            engine.held += part.id
+        }
+        return read
+    }
+
+    /** Every router tells all others what it has in progress and what it has learned. */
+    private fun exchange() {
+        val counts = routers.map { it.activity.counts() }
+        val news = routers.map { it.index.news() }
+        routers.forEachIndexed { self, router ->
+            router.others =
+                counts
+                    .filterIndexed { other, _ -> other != self }
+                    .flatMap { it.entries }
+                    .groupBy({ it.key }, { it.value })
+                    .mapValues { it.value.sum() }
+            news.forEachIndexed { other, parts -> if (other != self) router.index.accept(parts) }
+        }
+    }
+
+    companion object {
+        val ZONES = listOf("a", "b", "c")
+        const val READ_TOKENS_PER_MILLISECOND = 38
+
+        fun engineConfiguration(): ServingConfiguration {
+            val plain = configuration()
+            val pool =
+                PoolDefinition(enginePool, "/healthz", 500, ColdStart(3.seconds, 10.0), EnginePool(96, 200_000))
+            return ServingConfiguration(1, plain.routes, mapOf(enginePool to pool), plain.limits, plain.accounts)
+        }
+
+        fun engines(count: Int, coldUntilMillis: (Int) -> Long = { 0 }): List<KnownUpstream> =
+            List(count) { number ->
+                val known = upstream("engine-$number", enginePool, ZONES[number % 3], coldUntilMillis(number))
+                known.copy(registration = known.registration.copy(slots = 96))
+            }
+    }
+}
+
+/** A kind of request: how often it comes, its parts and the time that its answer takes. */
+class ReplayKind(
+    val name: String,
+    val perSecond: Double,
+    val subjects: Int,
+    val leadingTokens: Int,
+    val subjectTokens: Int,
+    val ownTokens: Int,
+    val answerMillis: Long,
+)
+
+/** Long drafts that share much, middle ones, and short chats, as at the users' sites. */
+val mixedKinds =
+    listOf(
+        ReplayKind("draft", 16.0, 24, 2_520, 6_100, 580, 300),
+        ReplayKind("question", 22.0, 49, 340, 1_700, 360, 150),
+        ReplayKind("chat", 25.0, 81, 100, 500, 110, 1_600),
+    )
+
+/** A load of [kinds]; from [hotFromMillis] on, [hotShare] of the first kind is about one subject. */
+fun replayLoad(
+    kinds: List<ReplayKind>,
+    millis: Long,
+    routers: Int,
+    seed: Long,
+    hotShare: Double = 0.0,
+    hotFromMillis: Long = 0,
+): List<ReplayRequest> {
+    val random = Random(seed)
+    return kinds.flatMap { kind ->
+        val requests = mutableListOf<ReplayRequest>()
+        var at = 0.0
+        while (true) {
+            at += -Math.log(1 - random.nextDouble()) * 1_000 / kind.perSecond
+            if (at >= millis) break
+            val hot = kind === kinds.first() && at >= hotFromMillis && random.nextDouble() < hotShare
+            val subject = if (hot) 0 else random.nextInt(kind.subjects)
+            val parts =
+                listOf(
+                    PromptPart(PromptPartId("${kind.name}-${subject % 4}"), kind.leadingTokens),
+                    PromptPart(PromptPartId("${kind.name}-subject-$subject"), kind.subjectTokens),
+                    PromptPart(PromptPartId("${kind.name}-own-${requests.size}"), kind.ownTokens),
+                )
+            val prompt = Prompt(parts, parts.sumOf { it.tokens }, 100)
+            requests += ReplayRequest(at.toLong(), random.nextInt(routers), prompt, kind.answerMillis)
+        }
+        requests
+    }
+}
