--- a/src/main/kotlin/org/primrosesill/command/RehearsalCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RehearsalCommand.kt
@@ -43,7 +43,7 @@
     }
 
     private suspend fun rehearse(): List<Int> {
-        val loop = TrafficLoop()
+        val loop = TrafficLoop { commandFailed("rehearsal: $it") }
         val upstream = startHttpListener(loop, "127.0.0.1:0", ::ListenerLimits, rehearsalUpstream())
         val client = nettyUpstreamClient(loop)
         // The store's client is used as well: an address at which nobody listens gives its error path.
@@ -66,7 +66,7 @@
             .check(
                 """{"name":"rehearsal","availabilityZone":"a","callerAddress":"${freeAddress()}",
                 "readinessAddress":"${freeAddress()}","peerAddress":"${freeAddress()}",
-                "metricsAddress":"${freeAddress()}","platformAddress":"${freeAddress()}"}""",
+                "metricsAddress":"${freeAddress()}","gossipPort":${freePort()},"platformAddress":"${freeAddress()}"}""",
             ).fold({ commandFailed(it.joinToString()) }, { it })
 
     private suspend fun send(client: UpstreamClient, address: String, method: String): Int {
@@ -99,4 +99,6 @@
 }
 
 /** An address on loopback that was free a moment ago. */
-private fun freeAddress(): String = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
+private fun freeAddress(): String = "127.0.0.1:${freePort()}"
+
+private fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- a/src/main/kotlin/org/primrosesill/concurrent/ControlThread.kt
+++ b/src/main/kotlin/org/primrosesill/concurrent/ControlThread.kt
@@ -18,7 +18,7 @@
 /** Runs code on the control thread. Every read and write of control state goes through [run]. */
 public class ControlThread : AutoCloseable {
     private val executor =
-        Executors.newSingleThreadExecutor { task ->
+        Executors.newSingleThreadScheduledExecutor { task ->
             Thread(task, "control").apply { isDaemon = true }
         }
     private val closeable = executor.asCoroutineDispatcher()
--- a/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
+++ b/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
@@ -26,6 +26,7 @@
         Field("readinessAddress", addressRule, required = true),
         Field("peerAddress", addressRule, required = true),
         Field("metricsAddress", addressRule, required = true),
+        Field("gossipPort", WholeNumberRule(1L..65_535L), required = true),
         Field("platformAddress", addressRule, required = true),
         Field("peers", ListRule(addressRule, 0..1_000)),
         Field("firstStart", FlagRule),
--- a/src/main/kotlin/org/primrosesill/discovery/DirectoryView.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/DirectoryView.kt
@@ -41,7 +41,9 @@
     /** The ids of all upstreams. */
     public val upstreamIds: Set<UpstreamId> = upstreams.values.flatten().mapTo(HashSet()) { it.id }
 
+    private val eligible: Map<PoolId, List<KnownUpstream>> =
+        upstreams.mapValues { (_, ofPool) -> ofPool.filter { it.blockedBecause == null } }
+
     /** Returns the upstreams of [pool] that may get new requests. */
-    public fun eligible(pool: PoolId): List<KnownUpstream> =
-        upstreams[pool].orEmpty().filter { it.blockedBecause == null }
+    public fun eligible(pool: PoolId): List<KnownUpstream> = eligible[pool].orEmpty()
 }
--- a/src/main/kotlin/org/primrosesill/event/BoundedEventLog.kt
+++ b/src/main/kotlin/org/primrosesill/event/BoundedEventLog.kt
@@ -24,7 +24,7 @@
 private const val MAXIMUM_BATCH = 256
 
 /** How long lines are collected before they are written together, in milliseconds. */
-private const val BATCH_MILLIS = 20L
+private const val BATCH_MILLIS = 200L
 
 private val requestTypes =
     setOf(
--- a/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -24,6 +24,7 @@
         promptWasRead: () -> Unit,
     ): AttemptEnd {
         val description = protocol.describe(answer.status, answer.headers)
+        dependencies.activity.answeredFrom(upstream.registration.availabilityZone)
         description.load?.let { dependencies.loads.observe(upstream.id, it.running + it.waiting) }
         val success = answer.status in 200..299
         return when {
@@ -56,6 +57,7 @@
         // These statuses promise that the request did not run, which the upstream does not say.
         if (answer.status in PROMISING_STATUSES) return AttemptEnd.Unknown("status ${answer.status} without a promise")
         if (answer.status < 500) dependencies.activity.succeeded(upstream.id)
+        dependencies.metrics.answered(job.pool, job.request.arrivedAt.elapsedNow())
         caller.respond(headOf(answer), buffer.toByteArray())
         return AttemptEnd.Delivered(answer.status)
     }
@@ -82,6 +84,7 @@
                 is BodyPart.Bytes ->
                     for (event in parser.feed(part.bytes)) {
                         if (events++ == 0) promptWasRead()
+                        if (!caller.started) dependencies.metrics.answered(job.pool, job.request.arrivedAt.elapsedNow())
                         if (!caller.started) caller.start(headOf(answer))
                         event.id?.let { job.lastEventId = it }
                         caller.write(event.bytes)
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -3,7 +3,6 @@
  */
 package org.primrosesill.forwarding
 
-import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.generated.EventType
 import org.primrosesill.model.Failure
 import org.primrosesill.model.UpstreamId
@@ -14,82 +13,66 @@
 import org.primrosesill.request.UpstreamCall
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-
-/** How an attempt ended. */
-internal sealed interface AttemptEnd {
-    /** The caller has its whole answer. */
-    class Delivered(val status: Int) : AttemptEnd
-
-    /** The upstream did not run the request. */
-    class NotRun(val reason: String) : AttemptEnd
-
-    /** The upstream answered with a failure of its own, and the request may run again. */
-    class Failed(val head: OutboundHead, val body: ByteArray) : AttemptEnd
-
-    /** The upstream may have run the request, and the caller has nothing, or a stream that may go on elsewhere. */
-    class Unknown(val reason: String) : AttemptEnd
-
-    /** The caller has a part of an answer that cannot be completed. */
-    class Cut(val reason: String) : AttemptEnd
-}
-
-/** What the caller gets if no later attempt succeeds: the answer of an upstream rather than a failure of this router. */
-private class LastFailure(private val answer: OutboundAnswer) {
-    private var failed: AttemptEnd.Failed? = null
-    private var unknown: Failure? = null
-
-    fun take(end: AttemptEnd.Failed) {
-        failed = end
-    }
-
-    fun take(failure: Failure) {
-        unknown = failure
-    }
-
-    /** Answers with what an upstream said, or returns the failure that is known, or else [failure]. */
-    suspend fun or(failure: Failure): Failure? {
-        val end = failed
-        if (end == null || answer.started) return unknown ?: failure
-        answer.respond(end.head, end.body)
-        return null
-    }
-}
+import kotlin.time.TimeSource
 
 internal class AttemptLoop(private val dependencies: ForwarderDependencies) {
     private val relay = AnswerRelay(dependencies)
 
     /** Sends [job] until an attempt answers it, and returns the failure if none did. */
     suspend fun run(job: ForwardingJob, answer: OutboundAnswer): Failure? {
-        val excluded = HashSet<UpstreamId>()
-        var runs = 0
-        var sends = 0
-        val last = LastFailure(answer)
+        val progress = Progress(job, answer)
         while (true) {
-            if (!job.timeLeft().isPositive()) return last.or(Failure.NoUpstream(job.pool, "no time is left"))
-            if (sends > 0 && !dependencies.retries.tryTake(job.pool)) return last.or(overRetryBudget(job))
+            progress.whyNoFurtherAttempt()?.let { return progress.last.or(it) }
             val placement =
-                when (val placed = place(job, excluded)) {
+                when (val placed = place(job, progress.excluded)) {
                     is PlacementResult.Chosen -> placed
                     is PlacementResult.Refused ->
-                        return last.or(Failure.NoUpstream(job.pool, placed.reason, placed.retryAfter))
+                        return progress.last.or(Failure.NoUpstream(job.pool, placed.reason, placed.retryAfter))
                 }
-            val upstream = placement.upstream
-            dependencies.events.record(EventType.REQUEST_ROUTED, job.description.id, upstream.id, placement.basis)
-            excluded += upstream.id
+            val upstream = placement.upstream.id
+            dependencies.events.record(EventType.REQUEST_ROUTED, job.description.id, upstream, placement.basis)
+            val started = TimeSource.Monotonic.markNow()
             val end = attempt(job, placement, answer)
-            record(job, upstream, end)
+            record(job, upstream, end, started.elapsedNow())
             when (end) {
                 is AttemptEnd.Delivered -> return null
-                is AttemptEnd.Cut -> return Failure.AnswerCut(upstream.id, end.reason)
-                is AttemptEnd.NotRun -> if (++sends >= MAXIMUM_SENDS) return last.or(refused(upstream, end))
+                is AttemptEnd.Cut -> return Failure.AnswerCut(upstream, end.reason)
+                else -> progress.take(upstream, end)
+            }
+        }
+    }
+
+    /** What the attempts of one request have come to. */
+    private inner class Progress(private val job: ForwardingJob, answer: OutboundAnswer) {
+        val last = LastFailure(answer)
+        val excluded = HashSet<UpstreamId>()
+        private var arrivals = 0
+        private var runs = 0
+        private var lastRefusal: Failure? = null
+
+        /** Returns why the request goes to no further upstream, or null when it may. */
+        fun whyNoFurtherAttempt(): Failure? =
+            when {
+                !job.timeLeft().isPositive() -> Failure.NoUpstream(job.pool, "no time is left", RETRY_AFTER)
+                runs > 0 && (!job.route.idempotent || runs >= job.route.maximumAttempts) ->
+                    Failure.NoUpstream(job.pool, "no attempt is left", RETRY_AFTER)
+                excluded.size >= MAXIMUM_UPSTREAMS -> lastRefusal
+                // Only sends that reach an upstream load it, so that only these count against the budget.
+                arrivals > 0 && !dependencies.retries.tryTake(job.pool) ->
+                    Failure.NoUpstream(job.pool, "the retry budget is used up", RETRY_AFTER)
+                else -> null
+            }
+
+        fun take(upstream: UpstreamId, end: AttemptEnd) {
+            excluded += upstream
+            if (end !is AttemptEnd.NotSent) arrivals++
+            when (end) {
                 is AttemptEnd.Failed -> last.take(end)
                 is AttemptEnd.Unknown -> last.take(outcomeUnknown(job, upstream, end))
+                is AttemptEnd.NotRun -> lastRefusal = Failure.UpstreamRefused(upstream, end.reason, RETRY_AFTER)
+                else -> lastRefusal = Failure.UpstreamUnreachable(upstream, RETRY_AFTER)
             }
-            if (end is AttemptEnd.Failed || end is AttemptEnd.Unknown) {
-                sends++
-                runs++
-                if (!job.route.idempotent || runs >= job.route.maximumAttempts) return last.or(overRetryBudget(job))
-            }
+            if (end is AttemptEnd.Failed || end is AttemptEnd.Unknown) runs++
         }
     }
 
@@ -110,28 +93,32 @@
         placement: PlacementResult.Chosen,
         answer: OutboundAnswer,
     ): AttemptEnd {
-        val upstream = placement.upstream
+        val upstream = placement.upstream.id
         val activity = dependencies.activity
         val prompt = PromptInProgress(placement)
-        activity.started(upstream.id, placement.readTokens)
+        activity.started(upstream, placement.readTokens)
         try {
             val call = callTo(job, placement)
             val result =
-                dependencies.client.exchange(call) { relay.deliver(job, upstream, it, answer) { prompt.wasRead(job) } }
+                dependencies.client.exchange(call) {
+                    relay.deliver(job, placement.upstream, it, answer) { prompt.wasRead(job) }
+                }
+            if (result !is ExchangeResult.Answered) activity.failed(upstream)
             return when (result) {
                 is ExchangeResult.Answered -> result.value
-                is ExchangeResult.NotSent -> AttemptEnd.NotRun(result.reason).also { activity.failed(upstream.id) }
-                is ExchangeResult.Broken -> AttemptEnd.Unknown(result.reason).also { activity.failed(upstream.id) }
-                ExchangeResult.TimedOut -> AttemptEnd.Unknown("no answer in time").also { activity.failed(upstream.id) }
+                is ExchangeResult.NotSent -> AttemptEnd.NotSent(result.reason)
+                is ExchangeResult.Broken -> AttemptEnd.Unknown(result.reason)
+                ExchangeResult.TimedOut -> AttemptEnd.Unknown("no answer within ${call.timeout}")
             }
         } finally {
             prompt.end()
-            activity.ended(upstream.id)
+            activity.ended(upstream)
         }
     }
 
     private fun callTo(job: ForwardingJob, placement: PlacementResult.Chosen): UpstreamCall {
         val upstream = placement.upstream
+        val request = job.request
         val order =
             UpstreamOrder(
                 upstream.id,
@@ -141,7 +128,6 @@
                 job.lastEventId,
                 placement.prefixSource?.registration?.address,
             )
-        val request = job.request
         return UpstreamCall(
             upstream = upstream.id,
             address = upstream.registration.address,
@@ -177,43 +163,35 @@
         }
     }
 
-    private fun outcomeUnknown(job: ForwardingJob, upstream: KnownUpstream, end: AttemptEnd.Unknown): Failure =
+    private fun outcomeUnknown(job: ForwardingJob, upstream: UpstreamId, end: AttemptEnd.Unknown): Failure =
         if (job.timeLeft().isPositive()) {
-            Failure.OutcomeUnknown(upstream.id, end.reason)
+            Failure.OutcomeUnknown(upstream, end.reason)
         } else {
-            Failure.DeadlineExceeded(upstream.id, job.route.timeout)
+            Failure.DeadlineExceeded(upstream, job.route.timeout)
         }
 
-    private fun refused(upstream: KnownUpstream, end: AttemptEnd.NotRun) =
-        Failure.UpstreamRefused(upstream.id, end.reason, RETRY_AFTER)
-
     /** A request that may run again is not left with an upstream that is silent until its time is over. */
     private fun patience(job: ForwardingJob): Duration {
         val left = job.timeLeft().coerceAtLeast(1.milliseconds)
         return if (job.route.idempotent) minOf(left, answerPatience(job.route)) else left
     }
 
-    private fun overRetryBudget(job: ForwardingJob) =
-        Failure.NoUpstream(job.pool, "the retry budget is used up", RETRY_AFTER)
-
-    private fun record(job: ForwardingJob, upstream: KnownUpstream, end: AttemptEnd) {
-        val id = job.description.id
-        when (end) {
-            is AttemptEnd.Delivered ->
-                dependencies.events.record(EventType.REQUEST_FINISHED, id, upstream.id, "status ${end.status}")
-            is AttemptEnd.NotRun ->
-                dependencies.events.record(EventType.REQUEST_RETRIED, id, upstream.id, "not run: ${end.reason}")
-            is AttemptEnd.Failed ->
-                dependencies.events.record(EventType.REQUEST_RETRIED, id, upstream.id, "status ${end.head.status}")
-            is AttemptEnd.Unknown ->
-                dependencies.events.record(EventType.OUTCOME_UNKNOWN, id, upstream.id, end.reason)
-            is AttemptEnd.Cut -> dependencies.events.record(EventType.ANSWER_CUT, id, upstream.id, end.reason)
-        }
+    private fun record(job: ForwardingJob, upstream: UpstreamId, end: AttemptEnd, duration: Duration) {
+        val type =
+            when (end) {
+                is AttemptEnd.Delivered -> EventType.REQUEST_FINISHED
+                is AttemptEnd.Cut -> EventType.ANSWER_CUT
+                is AttemptEnd.Unknown -> EventType.OUTCOME_UNKNOWN
+                else -> EventType.REQUEST_RETRIED
+            }
+        val cause = "${end.description}, after ${duration.inWholeMilliseconds} ms at the upstream"
+        dependencies.events.record(type, job.description.id, upstream, cause)
+        dependencies.metrics.attempted(job.pool, end.javaClass.simpleName)
     }
 
     private companion object {
-        /** Sends of one request that upstreams refused to run. */
-        const val MAXIMUM_SENDS = 3
+        /** Upstreams that a request is offered to at the most. */
+        const val MAXIMUM_UPSTREAMS = 4
         val MAXIMUM_IDLE = 4_000.milliseconds
         val RETRY_AFTER = 300.milliseconds
     }
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -10,6 +10,7 @@
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.generated.EventType
 import org.primrosesill.model.Failure
+import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.PoolId
 import org.primrosesill.placement.PartIndex
 import org.primrosesill.placement.Placement
@@ -34,6 +35,7 @@
     public val loads: UpstreamLoads,
     public val retries: RetryAllowance,
     public val client: UpstreamClient,
+    public val metrics: ForwardingMetrics,
     public val events: ForwardingEvents,
     public val random: Random = Random.Default,
 )
@@ -50,16 +52,21 @@
     override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
         val description = dependencies.protocol.describe(request)
         if (dependencies.view().configuration == null) dependencies.awaitConfiguration(START_PATIENCE)
-        val job = accept(request, description).fold({ return refuse(answer, description, it) }, { it })
+        val job = accept(request, description).fold({ return refuse(request, answer, null, it) }, { it })
         dependencies.retries.recordRequest(job.pool)
         try {
-            attempts.run(job, answer)?.let { refuse(answer, description, it) }
+            val failure = attempts.run(job, answer)
+            if (failure == null) finished(request, job.pool, "answered") else refuse(request, answer, job.pool, failure)
         } catch (exception: CancellationException) {
             dependencies.events.record(EventType.REQUEST_FINISHED, description.id, null, "the caller left")
+            finished(request, job.pool, "caller left")
             throw exception
         }
     }
 
+    private fun finished(request: InboundRequest, pool: PoolId?, result: String) =
+        dependencies.metrics.finished(pool, result, request.arrivedAt.elapsedNow())
+
     private fun accept(request: InboundRequest, description: RequestDescription): Either<Failure, ForwardingJob> =
         either {
             val configuration = ensureNotNull(dependencies.view().configuration) { Failure.NotReady() }
@@ -91,14 +98,14 @@
         return route.targets.last().pool
     }
 
-    private suspend fun refuse(answer: OutboundAnswer, description: RequestDescription, failure: Failure) {
-        dependencies.events.record(EventType.REQUEST_REFUSED, description.id, null, failure.toString())
+    private suspend fun refuse(request: InboundRequest, answer: OutboundAnswer, pool: PoolId?, failure: Failure) {
+        val waited = request.arrivedAt.elapsedNow().inWholeMilliseconds
+        val id = dependencies.protocol.describe(request).id
+        val cause = "$failure, status ${failure.status} $waited ms after its arrival"
+        dependencies.events.record(EventType.REQUEST_REFUSED, id, null, cause)
+        finished(request, pool, failure.type)
         if (answer.started) return answer.abort()
-        answer.respond(refusalHead(failure, failure.retryAfter))
-    }
-
-    private fun refusalHead(failure: Failure, retryAfter: Duration?): OutboundHead {
-        val field = retryAfter?.let(dependencies.protocol::retryAfter)
-        return OutboundHead(failure.status, org.primrosesill.model.HeaderFields(listOfNotNull(field)))
+        val retryAfter = failure.retryAfter?.let(dependencies.protocol::retryAfter)
+        answer.respond(OutboundHead(failure.status, HeaderFields(listOfNotNull(retryAfter))))
     }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.launch
 import org.primrosesill.discovery.PlatformChanges
 import org.primrosesill.discovery.PlatformItem
-import org.primrosesill.exchange.FULL_EXCHANGE_GATEWAYS
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.RelayedItem
@@ -23,8 +22,8 @@
     private val keeper: DirectoryKeeper,
     private val client: PeerClient,
     private val nowMillis: () -> Long,
+    private val send: (Collection<String>, ExchangeMessage) -> Unit,
 ) {
-    private val waiting = HashSet<String>()
     private var catchingUp = false
     private var announcing = false
 
@@ -32,14 +31,13 @@
     suspend fun run(): Nothing {
         while (true) {
             startRound()
-            delay(if (fleet.size > FULL_EXCHANGE_GATEWAYS) LARGE_FLEET_INTERVAL else SMALL_FLEET_INTERVAL)
+            delay(INTERVAL)
         }
     }
 
-    /** Sends to all planned peers that have answered the round before. */
+    /** Tells the planned peers what this gateway knows. */
     fun startRound() {
-        val round =
-            fleet.nextRound(keeper)
+        val round = fleet.nextRound(keeper)
         send(round.addresses, round.message)
     }
 
@@ -54,10 +52,14 @@
         }
     }
 
-    /** Takes the message of a peer and returns the answer. */
-    fun receive(message: ExchangeMessage): ExchangeMessage {
-        take(message)
-        return fleet.answer(message, keeper)
+    /** Takes what a peer tells. */
+    fun receive(message: ExchangeMessage) {
+        fleet.take(message, nowMillis())
+        val sender = message.parts.firstOrNull() ?: return
+        keeper.takeAge(sender.configurationRevision, message.platformAgeMillis)
+        if (sender.configurationRevision > keeper.revision && !catchingUp) scope.launch { catchUp(sender.member) }
+        val answer = fleet.answerTo(message, keeper) ?: return
+        send(listOf(sender.member.address), answer)
     }
 
     fun itemsAfter(revision: Long): RelayedItems =
@@ -67,26 +69,6 @@
             reachableMillis = keeper.platformReachableMillis ?: -1,
         )
 
-    private fun send(addresses: List<String>, message: ExchangeMessage) {
-        addresses.filter { it !in waiting }.forEach { address ->
-            waiting += address
-            scope.launch {
-                client
-                    .exchange(address, message)
-                    .onLeft { if (it.refused) fleet.reached(address, nowMillis()) }
-                    .onRight(::take)
-                waiting -= address
-            }
-        }
-    }
-
-    private fun take(message: ExchangeMessage) {
-        fleet.take(message, nowMillis())
-        val sender = message.parts.firstOrNull() ?: return
-        keeper.takeAge(sender.configurationRevision, message.platformAgeMillis)
-        if (sender.configurationRevision > keeper.revision && !catchingUp) scope.launch { catchUp(sender.member) }
-    }
-
     private suspend fun catchUp(sender: Member) {
         catchingUp = true
         delay(patience())
@@ -105,8 +87,7 @@
     private fun patience(): Duration = if (fleet.reads(keeper.ageMillis)) READER_PATIENCE else Duration.ZERO
 
     private companion object {
-        val SMALL_FLEET_INTERVAL = 250.milliseconds
-        val LARGE_FLEET_INTERVAL = 500.milliseconds
+        val INTERVAL = 400.milliseconds
         val READER_PATIENCE = 150.milliseconds
 
         /** Changes often come in groups. */
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -6,7 +6,6 @@
 
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
-import org.primrosesill.exchange.FULL_EXCHANGE_GATEWAYS
 import org.primrosesill.exchange.PartTable
 import org.primrosesill.exchange.SHORT_CODE_LENGTH
 import org.primrosesill.exchange.heartbeatDigest
@@ -58,7 +57,7 @@
     }
 
     /** What this gateway tells in an exchange. */
-    fun message(keeper: DirectoryKeeper): ExchangeMessage = message(keeper, emptySet())
+    fun message(keeper: DirectoryKeeper): ExchangeMessage = message(keeper, emptyList())
 
     /** Returns up to [count] gateways of the own zone, at random. */
     fun nearPeers(count: Int): List<Member> =
@@ -67,8 +66,6 @@
     /** Whether this gateway watches the platform, when its view is [ageMillis] old. */
     fun reads(ageMillis: Long?): Boolean = readsPlatform(members.self(), members.live(), ageMillis)
 
-    val size: Int get() = members.live().size
-
     /** Takes the message of a peer. */
     fun take(message: ExchangeMessage, nowMillis: Long) {
         for (part in message.parts) {
@@ -82,12 +79,14 @@
         news.take(message)
     }
 
-    /** Returns the answer to the message of a peer, with the members that it asks for. */
-    fun answer(message: ExchangeMessage, keeper: DirectoryKeeper): ExchangeMessage =
-        message(keeper, message.wanted.chunked(SHORT_CODE_LENGTH).toSet())
-
-    /** Takes that a gateway's VM answered, though the gateway itself did not. */
-    fun reached(address: String, nowMillis: Long) = memory.reached(address, nowMillis)
+    /** Returns the answer to a peer that does not know some members, or null when none is needed. */
+    fun answerTo(message: ExchangeMessage, keeper: DirectoryKeeper): ExchangeMessage? {
+        val asked = message.wanted.chunked(SHORT_CODE_LENGTH).toSet()
+        val introduced = members.live().filter { shortCode(it.router.value) in asked }
+        if (introduced.isEmpty()) return null
+        // An answer asks nothing, or two gateways that both miss a member would answer each other without end.
+        return message(keeper, introduced).copy(wanted = "")
+    }
 
     /** Says in the next exchange that this gateway is stopping. */
     fun leave() = members.updateSelf(members.self().copy(state = MemberState.LEAVING))
@@ -98,8 +97,7 @@
         val live = members.live().mapTo(HashSet()) { it.router } - members.self().router
         val others = memory.recent(nowMillis) + live
         val settled = nowMillis - startedAtMillis > SETTLING_MILLIS || memory.heardAll(seeds)
-        val complete = live.size < FULL_EXCHANGE_GATEWAYS
-        val load = FleetLoad(parts.inFlight(nowMillis), complete, memory.silentZones(nowMillis))
+        val load = FleetLoad(memory.silentZones(nowMillis))
         return FleetView(FleetMembers(members.self().router, others, settled), load)
     }
 
@@ -120,13 +118,11 @@
     /** The other gateways that are alive, in no order. */
     fun others(): List<Member> = members.live().filter { it.router != members.self().router }
 
-    private fun message(keeper: DirectoryKeeper, asked: Set<String>): ExchangeMessage {
+    private fun message(keeper: DirectoryKeeper, introduced: List<Member>): ExchangeMessage {
         val live = members.live()
         val self = members.self()
-        val inFlight = if (live.size <= FULL_EXCHANGE_GATEWAYS) news.inFlight() else emptyMap()
-        val introduced = live.filter { it.router != self.router && shortCode(it.router.value) in asked }
-        val parts =
-            listOf(RouterPart(self, keeper.revision, inFlight = inFlight)) + introduced.map { RouterPart(it, 0) }
+        val others = introduced.filter { it.router != self.router }
+        val parts = listOf(RouterPart(self, keeper.revision)) + others.map { RouterPart(it, 0) }
         return news.addTo(
             ExchangeMessage(
                 round = round,
--- a/src/main/kotlin/org/primrosesill/gateway/FleetMemory.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/FleetMemory.kt
@@ -12,7 +12,7 @@
     private val heard = HashMap<RouterId, Long>()
     private val heartbeats = HashMap<RouterId, Long>()
     private val zones = HashMap<AvailabilityZoneId, Long>()
-    private val zoneOfAddress = HashMap<String, AvailabilityZoneId>()
+    private val addresses = HashSet<String>()
 
     /** Takes [member] as some gateway passed it on. Only a heartbeat that is new shows that it is alive. */
     fun heard(member: Member, nowMillis: Long) {
@@ -22,15 +22,10 @@
             return
         }
         heard[member.router] = nowMillis
-        zoneOfAddress[member.address] = member.availabilityZone
+        addresses += member.address
         zones[member.availabilityZone] = nowMillis
     }
 
-    /** Takes that the VM at [address] answered: its zone can be reached. */
-    fun reached(address: String, nowMillis: Long) {
-        zoneOfAddress[address]?.let { zones[it] = nowMillis }
-    }
-
     /** The gateways that may be alive. One that was cut off goes on to spend its part of each budget. */
     fun recent(nowMillis: Long): Set<RouterId> {
         heard.values.removeIf { nowMillis - it > MEMORY_MILLIS }
@@ -38,7 +33,7 @@
         return heard.keys.toSet()
     }
 
-    fun heardAll(addresses: Set<String>): Boolean = zoneOfAddress.keys.containsAll(addresses)
+    fun heardAll(expected: Set<String>): Boolean = addresses.containsAll(expected)
 
     /** Other zones from which nothing was heard lately, though it was before. */
     fun silentZones(nowMillis: Long): Set<AvailabilityZoneId> =
@@ -50,8 +45,8 @@
     private companion object {
         const val MEMORY_MILLIS = 10_000L
 
-        /** Two exchanges with other zones without a word. */
-        const val SILENCE_MILLIS = 1_200L
+        /** Three rounds in which all gateways of a zone together would have been heard several times. */
+        const val SILENCE_MILLIS = 1_300L
 
         /** After that time a zone without gateways is no longer taken for one that is cut off. */
         const val FORGOTTEN_MILLIS = 30_000L
--- a/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
@@ -3,8 +3,9 @@
  */
 package org.primrosesill.gateway
 
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.primrosesill.concurrent.launchEvery
+import org.primrosesill.concurrent.launchRestarting
 import org.primrosesill.event.EventLog
 import org.primrosesill.forwarding.PlatformAdapter
 import org.primrosesill.generated.EventType
@@ -14,7 +15,7 @@
 import org.primrosesill.transport.startHttpListener
 import kotlin.time.Duration.Companion.milliseconds
 
-private val TICK_INTERVAL = 200.milliseconds
+private val TICK_INTERVAL = 400.milliseconds
 
 /** A started gateway. */
 public class Gateway internal constructor(private val parts: GatewayParts, private val callers: HttpListener) {
@@ -34,8 +35,14 @@
 }
 
 private fun startLoops(parts: GatewayParts) {
-    parts.controlScope.launch { parts.platformLoop.run() }
+    parts.controlScope.launchRestarting(parts.faults) { parts.platformLoop.run() }
     parts.controlScope.launch { parts.heldPartsLoop.run() }
-    parts.controlScope.launch { parts.exchange.run() }
-    parts.controlScope.launchEvery(TICK_INTERVAL) { parts.tick() }
+    parts.gossip.start()
+    parts.controlScope.launchRestarting(parts.faults) { parts.exchange.run() }
+    parts.controlScope.launchRestarting(parts.faults) {
+        while (true) {
+            parts.tick()
+            delay(TICK_INTERVAL)
+        }
+    }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -7,6 +7,9 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
 import org.primrosesill.concurrent.ControlThread
+import org.primrosesill.concurrent.FaultReport
+import org.primrosesill.concurrent.describeFault
+import org.primrosesill.concurrent.faultHandler
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.discovery.UpstreamDirectory
 import org.primrosesill.event.EventLog
@@ -18,10 +21,13 @@
 import org.primrosesill.forwarding.RetryAllowance
 import org.primrosesill.forwarding.RetryBound
 import org.primrosesill.forwarding.forwarder
+import org.primrosesill.generated.EventType
 import org.primrosesill.generated.GatewaySettings
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
 import org.primrosesill.model.RouterId
+import org.primrosesill.model.SocketAddress
+import org.primrosesill.model.parseSocketAddress
 import org.primrosesill.placement.ColdStartBound
 import org.primrosesill.placement.ColdStartBudget
 import org.primrosesill.placement.FleetLoad
@@ -48,17 +54,19 @@
     private val adapter: PlatformAdapter,
     val events: EventLog,
 ) {
-    val loop = TrafficLoop()
+    val faults = FaultReport { events.record(EventType.PROCESS_FAULT, describeFault(it)) }
+    val loop = TrafficLoop(faults)
     val control = ControlThread()
-    val controlScope = CoroutineScope(SupervisorJob() + control.dispatcher)
+    val controlScope = CoroutineScope(SupervisorJob() + control.dispatcher + faultHandler(faults))
 
     @Volatile
     var stopping = false
 
+    val metrics = GatewayMetrics()
     private val activity = UpstreamActivity(::steadyMillis)
     private val index = PartIndex(::steadyMillis)
     private val loads = UpstreamLoads(activity, ::steadyMillis)
-    private val news = TrafficNews(activity, loads, index)
+    private val news = TrafficNews(loads, index)
     private val self = newMember(settings)
     private val fleetView =
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), settled = false), FleetLoad()))
@@ -69,7 +77,7 @@
             ::steadyMillis,
         )
     private val client =
-        nettyUpstreamClient(loop, UpstreamClientSettings(CONNECT_TIMEOUT, acceptsUnframed = true))
+        nettyUpstreamClient(loop, UpstreamClientSettings(CONNECT_TIMEOUT, acceptsUnframed = true), metrics)
     private val keeper: DirectoryKeeper =
         DirectoryKeeper(
             UpstreamDirectory(adapter.itemDecoder),
@@ -79,8 +87,12 @@
         ) { exchange.announce() }
     private val follower = UpstreamFollower(activity, loads, index, coldStart)
     private val peers = PeerClient(client)
+    val gossip: GossipSocket =
+        GossipSocket(peerSocket(settings), settings.gossipPort, events) { message ->
+            controlScope.launch { exchange.receive(message) }
+        }
     val fleet = Fleet(self, settings.peers.toSet() - settings.peerAddress, news, events, steadyMillis(), Random.Default)
-    val exchange: ExchangeLoop = ExchangeLoop(controlScope, fleet, keeper, peers, ::steadyMillis)
+    val exchange: ExchangeLoop = ExchangeLoop(controlScope, fleet, keeper, peers, ::steadyMillis, gossip::send)
     val platformLoop =
         PlatformLoop(adapter.feed(settings.platformAddress, client), keeper) { fleet.reads(keeper.ageMillis) }
     val peerHandler = PeerHandler(exchange, news, control.dispatcher)
@@ -101,6 +113,7 @@
                 loads = loads,
                 retries = RetryAllowance(retryBound(settings), { fleetView.get().members }, ::steadyMillis),
                 client = client,
+                metrics = metrics,
                 events = { type, request, upstream, cause ->
                     events.record(type, cause, EventSubject(request = request, upstream = upstream))
                 },
@@ -148,10 +161,13 @@
         )
 
     private companion object {
-        val CONNECT_TIMEOUT = 300.milliseconds
+        val CONNECT_TIMEOUT = 200.milliseconds
     }
 }
 
+private fun peerSocket(settings: GatewaySettings): SocketAddress =
+    parseSocketAddress(settings.peerAddress).fold({ error("peer address: $it") }, { it })
+
 private fun retryBound(settings: GatewaySettings) =
     RetryBound(settings.retryRatio, settings.retryWindowMillis, settings.retryFixed)
 
--- a/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
@@ -9,12 +9,11 @@
 import arrow.core.right
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
-import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.HeldParts
 import org.primrosesill.generated.RelayedItems
 import org.primrosesill.http.messageJson
+import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.UpstreamId
-import org.primrosesill.model.headerFieldsOf
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.ConnectionUse
 import org.primrosesill.request.ExchangeResult
@@ -24,51 +23,40 @@
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration.Companion.seconds
 
-internal const val EXCHANGE_PATH = "/peer/v1/exchange"
 internal const val ITEMS_PATH = "/peer/v1/items"
 internal const val HELD_PARTS_PATH = "/peer/v1/held-parts"
 
 /** Why a call to a peer gave nothing. */
-internal data class PeerFailure(val address: String, val reason: String, val refused: Boolean = false) {
+internal data class PeerFailure(val address: String, val reason: String) {
     override fun toString(): String = "$address: $reason"
 }
 
 internal class PeerClient(private val client: UpstreamClient) {
-    suspend fun exchange(address: String, message: ExchangeMessage): Either<PeerFailure, ExchangeMessage> {
-        val body = messageJson.encodeToString(ExchangeMessage.serializer(), message).toByteArray()
-        return call(address, "POST", EXCHANGE_PATH, body).flatMap { decode(address, it, ExchangeMessage.serializer()) }
-    }
-
     /** Asks for the platform's items that changed after [revision]. */
     suspend fun items(address: String, revision: Long): Either<PeerFailure, RelayedItems> =
-        call(address, "GET", "$ITEMS_PATH?since=$revision", null)
+        call(address, "$ITEMS_PATH?since=$revision")
             .flatMap { decode(address, it, RelayedItems.serializer()) }
 
     /** Asks what engines have read, as far as the peer knows. */
     suspend fun heldParts(address: String): Either<PeerFailure, HeldParts> =
-        call(address, "GET", HELD_PARTS_PATH, null).flatMap { decode(address, it, HeldParts.serializer()) }
+        call(address, HELD_PARTS_PATH).flatMap { decode(address, it, HeldParts.serializer()) }
 
-    private suspend fun call(
-        address: String,
-        method: String,
-        path: String,
-        body: ByteArray?,
-    ): Either<PeerFailure, ByteArray> {
+    private suspend fun call(address: String, path: String): Either<PeerFailure, ByteArray> {
         val call =
             UpstreamCall(
                 upstream = UpstreamId(address),
                 address = address,
-                method = method,
+                method = "GET",
                 path = path,
                 requestId = "",
-                headers = headerFieldsOf("Content-Type" to "application/json"),
-                body = body,
+                headers = HeaderFields(),
+                body = null,
                 timeout = TIMEOUT,
                 connection = ConnectionUse.Kept(MAXIMUM_IDLE),
             )
         return when (val result = client.exchange(call) { read(address, it) }) {
             is ExchangeResult.Answered -> result.value
-            is ExchangeResult.NotSent -> PeerFailure(address, result.reason, result.refused).left()
+            is ExchangeResult.NotSent -> PeerFailure(address, result.reason).left()
             is ExchangeResult.Broken -> PeerFailure(address, result.reason).left()
             ExchangeResult.TimedOut -> PeerFailure(address, "no answer within $TIMEOUT").left()
         }
--- a/src/main/kotlin/org/primrosesill/gateway/PeerHandler.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PeerHandler.kt
@@ -5,13 +5,11 @@
 
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.withContext
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import org.primrosesill.forwarding.InboundRequest
 import org.primrosesill.forwarding.OutboundAnswer
 import org.primrosesill.forwarding.OutboundHead
 import org.primrosesill.forwarding.RequestHandler
-import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.http.messageJson
 import org.primrosesill.model.headerFieldsOf
 
@@ -22,28 +20,15 @@
 ) : RequestHandler {
     override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
         when (request.path) {
-            EXCHANGE_PATH -> exchange(request, answer)
             ITEMS_PATH -> items(request, answer)
             HELD_PARTS_PATH -> answer.respond(jsonHead, messageJson.encodeToString(news.allHeldParts()).toByteArray())
             else -> answer.respond(OutboundHead(404))
         }
     }
 
-    private suspend fun exchange(request: InboundRequest, answer: OutboundAnswer) {
-        val message =
-            try {
-                messageJson.decodeFromString(ExchangeMessage.serializer(), request.body.decodeToString())
-            } catch (_: SerializationException) {
-                return answer.respond(OutboundHead(400))
-            }
-        val reply = withContext(control) { messageJson.encodeToString(exchange.receive(message)) }
-        answer.respond(jsonHead, reply.toByteArray())
-    }
-
     private suspend fun items(request: InboundRequest, answer: OutboundAnswer) {
-        val since =
-            request.target.substringAfter("since=", "").toLongOrNull()
-                ?: return answer.respond(OutboundHead(400))
+        val since = request.target.substringAfter("since=", "").toLongOrNull()
+        if (since == null) return answer.respond(OutboundHead(400))
         val reply = withContext(control) { messageJson.encodeToString(exchange.itemsAfter(since)) }
         answer.respond(jsonHead, reply.toByteArray())
     }
--- a/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
@@ -62,7 +62,7 @@
 
     private companion object {
         const val SOURCE = "the platform"
-        val DUTY_CHECK = 100.milliseconds
+        val DUTY_CHECK = 400.milliseconds
 
         /** A connection that fell silent is found out after that time. */
         val WATCH_TIME = 2.seconds
--- a/src/main/kotlin/org/primrosesill/gateway/TrafficNews.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficNews.kt
@@ -13,19 +13,12 @@
 import org.primrosesill.placement.LoadObservation
 import org.primrosesill.placement.PartIndex
 import org.primrosesill.placement.PromptPartId
-import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.placement.UpstreamLoads
 
 /** Used on the control thread; what it reads and writes is safe to use from any thread. */
-internal class TrafficNews(
-    private val activity: UpstreamActivity,
-    private val loads: UpstreamLoads,
-    private val index: PartIndex,
-) {
+internal class TrafficNews(private val loads: UpstreamLoads, private val index: PartIndex) {
     private var upstreamsByCode: Map<String, UpstreamId> = emptyMap()
 
-    fun inFlight(): Map<String, Int> = activity.counts().mapKeys { it.key.value }
-
     /** Tells which upstreams the codes in messages can stand for. */
     fun knowUpstreams(known: Collection<UpstreamId>) {
         if (known.size != upstreamsByCode.size || !upstreamsByCode.values.containsAll(known)) {
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -9,7 +9,6 @@
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.UpstreamId
-import java.util.Locale
 
 internal class EnginePlacement(
     private val zone: AvailabilityZoneId,
@@ -23,10 +22,9 @@
         prompt: Prompt,
         candidates: List<KnownUpstream>,
         sources: List<KnownUpstream>,
-        fleet: FleetLoad,
     ): PlacementResult.Chosen {
         val held = index.heldTokens(prompt)
-        val engines = candidates.map { candidate(it, held, fleet) }
+        val engines = candidates.map { candidate(it, held) }
         val open = belowBound(engines)
         val chosen =
             if (isNew(
@@ -52,20 +50,20 @@
         held: Map<UpstreamId, Int>,
     ): String {
         val offered = source?.let { ", ${it.id} offers ${held[it.id] ?: 0}" }.orEmpty()
-        val mean = "%.1f".format(Locale.ROOT, engines.sumOf { it.inFlight }.toDouble() / engines.size)
+        val total = engines.sumOf { it.inFlight }
         return "holds ${chosen.heldTokens} of ${prompt.promptTokens} tokens$offered, " +
             "best ${held.values.maxOrNull() ?: 0}, part ${prompt.sharedParts.lastOrNull()?.id}; " +
-            "${chosen.inFlight} in flight, mean $mean of ${engines.size} engines"
+            "${chosen.inFlight} in flight, $total at ${engines.size} engines"
     }
 
     /** Whether no engine has read all that [prompt] shares with others. */
     private fun isNew(prompt: Prompt, held: Map<UpstreamId, Int>): Boolean =
         prompt.sharedTokens > 0 && held.values.none { it >= prompt.sharedTokens }
 
-    private fun candidate(upstream: KnownUpstream, held: Map<UpstreamId, Int>, fleet: FleetLoad) =
+    private fun candidate(upstream: KnownUpstream, held: Map<UpstreamId, Int>) =
         EngineCandidate(
             upstream = upstream,
-            inFlight = loads.of(upstream.id, fleet),
+            inFlight = loads.of(upstream.id),
             heldTokens = held[upstream.id] ?: 0,
             unreadTokens = activity.unreadTokens(upstream.id),
             failureRate = activity.failureRate(upstream.id),
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -40,10 +40,19 @@
             )
         }
         val fleet = inputs.fleet()
+        if (bearing.all {
+                isUnreachable(
+                    it,
+                    fleet,
+                )
+            }
+        ) {
+            return PlacementResult.Refused("no upstream can be reached", CUT_OFF)
+        }
         val candidates = soundest(bearing, fleet)
         val chosen =
-            request.prompt?.let { engines.choose(request, it, candidates, soundSources(request, view, fleet), fleet) }
-                ?: PlacementResult.Chosen(leastLoaded(candidates, fleet))
+            request.prompt?.let { engines.choose(request, it, candidates, soundSources(request, view, fleet)) }
+                ?: PlacementResult.Chosen(leastLoaded(candidates))
         inputs.coldStart.count(chosen.upstream.id)
         return chosen
     }
@@ -58,6 +67,14 @@
         return inputs.coldStart.hasRoom(upstream.id, coldStart.requestsPerSecond)
     }
 
+    /** Whether a connection failed a moment ago, and nothing is heard from the zone either. */
+    private fun isUnreachable(upstream: KnownUpstream, fleet: FleetLoad): Boolean =
+        isSilent(upstream, fleet) && activity.isSuspect(upstream.id)
+
+    /** Whether neither a router nor an upstream of its zone is heard. */
+    private fun isSilent(upstream: KnownUpstream, fleet: FleetLoad): Boolean =
+        upstream.registration.availabilityZone.let { it in fleet.silentZones && !activity.hearsFrom(it) }
+
     /** Those that answered lately in zones that are heard, or else what there is. */
     private fun soundest(upstreams: List<KnownUpstream>, fleet: FleetLoad): List<KnownUpstream> {
         val reachable =
@@ -71,12 +88,12 @@
     /** Engines that are leaving still hand out what they hold. */
     private fun soundSources(request: PlacementRequest, view: DirectoryView, fleet: FleetLoad): List<KnownUpstream> =
         view.upstreams[request.pool].orEmpty().filter {
-            it.registration.availabilityZone !in fleet.silentZones && !activity.isSuspect(it.id)
+            !isSilent(it, fleet) && !activity.isSuspect(it.id)
         }
 
-    private fun leastLoaded(candidates: List<KnownUpstream>, fleet: FleetLoad): KnownUpstream =
+    private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream =
         candidates.shuffled(inputs.random).minBy { upstream ->
-            val inFlight = inputs.loads.of(upstream.id, fleet)
+            val inFlight = inputs.loads.of(upstream.id)
             val remote = if (upstream.registration.availabilityZone == inputs.zone) 0.0 else REMOTE_LOAD
             inFlight.toDouble() / upstream.registration.slots + remote +
                 activity.failureRate(upstream.id) * FAILURE_LOAD
@@ -85,6 +102,9 @@
     private companion object {
         val RETRY_AFTER = 300.milliseconds
 
+        /** A zone is rarely cut off for less. */
+        val CUT_OFF = 1_000.milliseconds
+
         /** An upstream of another zone is taken when the one of the own zone has this much more of its places in use. */
         const val REMOTE_LOAD = 0.3
         const val FAILURE_LOAD = 2.0
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
@@ -3,12 +3,14 @@
  */
 package org.primrosesill.placement
 
+import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.UpstreamId
 import kotlin.math.exp
 
 /** Owned by the traffic thread, but for [counts]. Times are milliseconds of a steady clock. */
 public class UpstreamActivity(private val nowMillis: () -> Long) {
     private val records = HashMap<UpstreamId, Record>()
+    private val zones = HashMap<AvailabilityZoneId, Long>()
 
     @Volatile
     private var published: Map<UpstreamId, Int> = emptyMap()
@@ -47,6 +49,15 @@
         publish()
     }
 
+    /** Records that an upstream in [zone] answered, well or not. */
+    public fun answeredFrom(zone: AvailabilityZoneId) {
+        zones[zone] = nowMillis()
+    }
+
+    /** Whether an upstream in [zone] answered lately. */
+    public fun hearsFrom(zone: AvailabilityZoneId): Boolean =
+        zones[zone]?.let { nowMillis() - it < HEARD_MILLIS } ?: false
+
     /** Records that [upstream] answered a request well. */
     public fun succeeded(upstream: UpstreamId) {
         val record = record(upstream)
@@ -111,6 +122,7 @@
 
     private companion object {
         const val FIRST_PAUSE_MILLIS = 250L
+        const val HEARD_MILLIS = 700L
         const val MAXIMUM_DOUBLINGS = 3
         const val ASSUMED_GOOD_ANSWERS = 2.0
         const val MEMORY_MILLIS = 3_000.0
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -1,7 +1,7 @@
 /*
- * How many requests each upstream has in progress, as well as this router can tell. In a small fleet each router tells all
- * others what it has in progress. In a large one that would be too much to tell, and each router sees too little of an
- * upstream; there the loads that upstreams state in their answers are passed on.
+ * How many requests each upstream has in progress, as well as this router can tell: the load that the upstream stated last in
+ * an answer to any router, and what this router has sent since. One router sees too few answers of an upstream by itself, so
+ * that routers pass on what they see.
  */
 package org.primrosesill.placement
 
@@ -15,9 +15,8 @@
     private val observed = HashMap<UpstreamId, Observed>()
 
     /** Returns the requests in progress at [upstream]. */
-    public fun of(upstream: UpstreamId, fleet: FleetLoad): Int {
+    public fun of(upstream: UpstreamId): Int {
         val own = activity.inFlight(upstream)
-        if (fleet.complete) return own + (fleet.othersInFlight[upstream] ?: 0)
         val last = latest(upstream) ?: return own
         return maxOf(own, last.load + (own - last.ownThen).coerceAtLeast(0))
     }
--- a/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
+++ b/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
@@ -16,10 +16,12 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
+import org.primrosesill.concurrent.FaultReport
+import org.primrosesill.concurrent.faultHandler
 import java.util.concurrent.TimeUnit
 
-/** A started event loop with its coroutine scope. */
-public class TrafficLoop : AutoCloseable {
+/** A started event loop with its coroutine scope. Faults of work on it go to the given report. */
+public class TrafficLoop(faults: FaultReport) : AutoCloseable {
     private val group: NioEventLoopGroup
 
     init {
@@ -36,7 +38,7 @@
     public val dispatcher: CoroutineDispatcher = eventLoop.asCoroutineDispatcher()
 
     /** The scope of all work on the traffic thread. The failure of one piece of work ends no other. */
-    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher)
+    public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher + faultHandler(faults))
 
     override fun close() {
         scope.cancel()
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -145,6 +145,7 @@
                         { 0 },
                     ),
                 client = client,
+                metrics = NoForwardingMetrics,
                 events = { type, _, _, cause -> events += type to cause },
             ),
         )
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/platform/StandInMain.kt
@@ -0,0 +1,15 @@
+/*
+ * Runs the stand-in of the users' site as a process of its own, for measurements by hand: StoreAddress, engines, desks.
+ */
+package org.primrosesill.platform
+
+import kotlinx.coroutines.runBlocking
+import org.primrosesill.concurrent.throwFaults
+import org.primrosesill.transport.TrafficLoop
+
+fun main(arguments: Array<String>) {
+    val site = SiteStandIn(TrafficLoop(throwFaults), arguments[1].toInt(), arguments[2].toInt(), listOf("a", "b", "c"))
+    runBlocking { site.start(arguments[0]) }
+    println("store at ${site.storeAddress}")
+    Thread.currentThread().join()
+}
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
@@ -0,0 +1,215 @@
+/*
+ * The users' store and their upstreams on loopback, as far as a gateway speaks with them. Tests write items as the operator
+ * and the servers do.
+ */
+package org.primrosesill.platform
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.primrosesill.forwarding.InboundRequest
+import org.primrosesill.forwarding.OutboundAnswer
+import org.primrosesill.forwarding.OutboundHead
+import org.primrosesill.forwarding.RequestHandler
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.headerFieldsOf
+import org.primrosesill.transport.HttpListener
+import org.primrosesill.transport.ListenerLimits
+import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.startHttpListener
+import java.util.Base64
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How the store behaves. */
+enum class StoreMode { NORMAL, BUSY, SILENT }
+
+/** A store in memory. Used on the traffic thread of its loop. */
+class StoreStandIn(private val loop: TrafficLoop) : RequestHandler {
+    private class Item(val value: String?, val revision: Long)
+
+    private val items = java.util.TreeMap<String, Item>()
+    private var revision = 1L
+    private var changed = CompletableDeferred<Unit>()
+
+    @Volatile
+    var mode = StoreMode.NORMAL
+
+    val calls = AtomicInteger()
+
+    /** Writes [value] under [key], or deletes it when it is null. */
+    @Synchronized
+    fun write(key: String, value: String?) {
+        items[key] = Item(value, ++revision)
+        changed.complete(Unit)
+        changed = CompletableDeferred()
+    }
+
+    override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
+        calls.incrementAndGet()
+        when (mode) {
+            StoreMode.BUSY -> return answer.respond(OutboundHead(503))
+            StoreMode.SILENT -> delay(60_000)
+            StoreMode.NORMAL -> Unit
+        }
+        val query =
+            request.target.substringAfter('?', "").split('&').associate {
+                it.substringBefore('=') to
+                    it.substringAfter('=')
+            }
+        val prefix = java.net.URLDecoder.decode(query["path_prefix"].orEmpty(), Charsets.UTF_8)
+        when (request.path) {
+            "/api/kv-range" -> answer.respond(OutboundHead(200), range(prefix).toByteArray())
+            "/api/kv-watch" -> answer.respond(OutboundHead(200), watch(query).toByteArray())
+            else -> answer.respond(OutboundHead(404))
+        }
+    }
+
+    @Synchronized
+    private fun range(prefix: String): String {
+        val entries =
+            items.filter { it.key.startsWith(prefix) && it.value.value != null }.map { (key, item) ->
+                itemJson(key, item)
+            }
+        return """{"entries":[${entries.joinToString(",")}],"has_more":false,"at":$revision}"""
+    }
+
+    private suspend fun watch(query: Map<String, String>): String {
+        val after = query["after"]?.toLong() ?: 0
+        val wait = query["wait_ms"]?.toLong() ?: 0
+        val next = synchronized(this) { if (eventsAfter(after).isEmpty()) changed else null }
+        if (next != null) withTimeoutOrNull(wait) { next.await() }
+        return synchronized(this) { """{"events":[${eventsAfter(after).joinToString(",")}],"at":$revision}""" }
+    }
+
+    private fun eventsAfter(after: Long): List<String> =
+        items.filter { it.value.revision > after }.entries.sortedBy { it.value.revision }.map {
+            itemJson(
+                it.key,
+                it.value,
+            )
+        }
+
+    private fun itemJson(key: String, item: Item): String =
+        if (item.value == null) {
+            """{"key":"$key","revision":${item.revision},"deleted":true}"""
+        } else {
+            val value = Base64.getEncoder().encodeToString(item.value.toByteArray())
+            """{"key":"$key","value":"$value","revision":${item.revision},"created":1,"lease":0}"""
+        }
+
+    suspend fun listen(address: String = "127.0.0.1:0"): HttpListener =
+        startHttpListener(loop, address, ::ListenerLimits, this)
+}
+
+/** What an upstream does with a request. */
+enum class UpstreamMode { GOOD, CRASHING, HANGING, FAILING, FULL, CUTTING }
+
+/** An upstream with the wire's own behaviour. Counts what it ran. */
+class UpstreamStandIn(val id: String, private val events: Int, private val pauseMillis: Long = 5) : RequestHandler {
+    /** Ids of the requests that ran here, in order. */
+    val ran = java.util.concurrent.ConcurrentLinkedQueue<String>()
+
+    @Volatile
+    var mode = UpstreamMode.GOOD
+
+    override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
+        val attempt = request.headers["X-Attempt-Id"].orEmpty()
+        val echo = headerFieldsOf("X-Attempt-Id" to attempt)
+        if (request.headers["X-Expect-Instance"] !=
+            id
+        ) {
+            return answer.respond(OutboundHead(421, echo.with("X-Instance-Id", id)))
+        }
+        if (mode == UpstreamMode.FULL) return answer.respond(OutboundHead(503, echo.with("X-Not-Executed", "1")))
+        ran += attempt
+        val signed = echo + headerFieldsOf("X-Server-Signature" to "$id.$attempt", "X-Server-Load" to "1,0,96")
+        when (mode) {
+            UpstreamMode.CRASHING -> return answer.abort()
+            UpstreamMode.HANGING -> delay(60_000)
+            UpstreamMode.FAILING -> return answer.respond(OutboundHead(500, signed), "failed".toByteArray())
+            else -> Unit
+        }
+        if (events == 0) plain(request, answer, signed) else stream(request, answer, signed)
+    }
+
+    private suspend fun plain(request: InboundRequest, answer: OutboundAnswer, fields: HeaderFields) {
+        delay(pauseMillis)
+        answer.respond(
+            OutboundHead(200, fields),
+            "${request.method} ${request.target} ${request.body.decodeToString()}".toByteArray(),
+        )
+    }
+
+    private suspend fun stream(request: InboundRequest, answer: OutboundAnswer, fields: HeaderFields) {
+        val first = (request.headers["Last-Event-Id"]?.toInt() ?: 0) + 1
+        answer.start(OutboundHead(200, fields.with("Content-Type", "text/event-stream")))
+        for (number in first..events) {
+            delay(pauseMillis)
+            if (mode == UpstreamMode.CUTTING && number == events / 2 + 1) return answer.abort()
+            answer.write("id: $number\ndata: $number\n\n".toByteArray())
+        }
+        answer.finish()
+    }
+}
+
+/** A store with one pool of engines and one of desks, and their upstreams, on loopback. */
+class SiteStandIn(val loop: TrafficLoop, private val engines: Int, private val desks: Int, zones: List<String>) {
+    val store = StoreStandIn(loop)
+    val upstreams =
+        List(engines) { UpstreamStandIn("engine-$it", events = 10) } +
+            List(desks) { UpstreamStandIn("desk-$it", events = 0) }
+    private val zoneOf = upstreams.indices.associate { upstreams[it].id to zones[it % zones.size] }
+    private val addresses = HashMap<String, String>()
+    lateinit var storeAddress: String
+        private set
+
+    suspend fun start(storeAt: String = "127.0.0.1:0") {
+        storeAddress = "127.0.0.1:${store.listen(storeAt).port}"
+        for (upstream in upstreams) {
+            addresses[upstream.id] =
+                "127.0.0.1:${startHttpListener(loop, "127.0.0.1:0", ::ListenerLimits, upstream).port}"
+            register(upstream.id)
+        }
+        configure(version = 1)
+    }
+
+    fun register(id: String, state: String = "ready") {
+        val pool = if (id.startsWith("engine")) "engines" else "desks"
+        val slots = if (id.startsWith("engine")) 96 else 6
+        store.write(
+            "servers/$id",
+            """{"service":"$pool","address":"${addresses[id]}","zone":"${zoneOf[id]}","version":"v1","max_batch":$slots,
+            "state":"$state","warmup_left_ms":0,"sequence":1}""",
+        )
+    }
+
+    fun configure(version: Int, key: String = KEY, extraRoutes: Int = 0) {
+        val extra = List(extraRoutes) { route("extra$it", "safe", "desks") }
+        val routes =
+            listOf(
+                route("chat", "stream", "engines", affinity = true),
+                route("long", "stream", "engines", affinity = true, resumable = true),
+                route("book", "unsafe", "desks"),
+                route("stock", "safe", "desks"),
+            ) + extra
+        store.write(
+            "op/config",
+            """{"version":$version,"routes":[${routes.joinToString(",")}],
+            "services":[{"name":"engines","health_path":"/healthz","max_conns":480,"warmup_s":3.0,"warmup_per_s":10.0,
+            "engine":{"max_batch":96,"kv_capacity":216524}},
+            {"name":"desks","health_path":"/healthz","max_conns":96,"warmup_s":0.0,"warmup_per_s":0.0}],
+            "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+            "tenants":[{"name":"account","api_keys":["$key"]}]}""",
+        )
+    }
+
+    private fun route(name: String, kind: String, pool: String, affinity: Boolean = false, resumable: Boolean = false) =
+        """{"name":"$name","host":"h.example","path_prefix":"/$name/","type":"$kind","timeout_ms":3000,
+        "target_latency_ms":300,"priority":1,"service":"$pool","attempts":2,"anonymous":false,"affinity":$affinity,
+        "resumable":$resumable,"gap_target_ms":400}"""
+
+    companion object {
+        const val KEY = "the-key"
+    }
+}
