Serve metrics and status, and take settings again at SIGHUP

Cause: SIGHUP had no handler, so that a gateway ended when its settings changed, and counters were kept but not served.

SIGHUP checks the settings file again: bounds come into force, an address that differs or any other fault is refused with its place, and the old settings stay. Calls to peers and engines that fail are recorded. The stand-in of the users' site now carries an end-to-end test through two gateways.

--- a/src/main/kotlin/org/primrosesill/command/GatewayCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/GatewayCommand.kt
@@ -11,9 +11,10 @@
 import kotlinx.coroutines.runBlocking
 import org.primrosesill.contract.GatewaySettingsChecks
 import org.primrosesill.event.boundedEventLog
+import org.primrosesill.gateway.Gateway
 import org.primrosesill.gateway.startGateway
-import org.primrosesill.generated.GatewaySettings
 import org.primrosesill.platform.usersPlatform
+import sun.misc.Signal
 import java.io.FileDescriptor
 import java.io.FileOutputStream
 import java.io.IOException
@@ -28,7 +29,12 @@
     override fun help(context: Context): String = "Run one gateway on the users' platform."
 
     override fun run() {
-        val settings = readSettings(settingsFile)
+        val text = readText(settingsFile) { commandFailed(it) }
+        val settings =
+            GatewaySettingsChecks
+                .check(
+                    text,
+                ).fold({ commandFailed("settings: ${it.joinToString("; ")}") }, { it })
         val output = FileOutputStream(FileDescriptor.out)
         val events = boundedEventLog(settings.name, settings.availabilityZone, output, System::currentTimeMillis)
         val gateway = runBlocking { startGateway(settings, usersPlatform(), events) }
@@ -38,19 +44,22 @@
                 events.flush(FLUSH_MILLIS)
             }
         Runtime.getRuntime().addShutdownHook(stop)
+        // Without a handler this signal ends the process.
+        Signal.handle(Signal("HUP")) { reload(gateway) }
         Thread.currentThread().join()
     }
 
-    private fun readSettings(file: Path): GatewaySettings {
-        val text =
-            try {
-                file.readText()
-            } catch (exception: IOException) {
-                commandFailed("settings: $file cannot be read: ${exception.message}")
-            }
-        return GatewaySettingsChecks.check(text).fold({ commandFailed("settings: ${it.joinToString("; ")}") }, { it })
+    private fun reload(gateway: Gateway) {
+        gateway.reload(readText(settingsFile) { return gateway.reloadFailed(it) })
     }
 
+    private inline fun readText(file: Path, failed: (String) -> Nothing): String =
+        try {
+            file.readText()
+        } catch (exception: IOException) {
+            failed("settings: $file cannot be read: ${exception.message}")
+        }
+
     private companion object {
         const val FLUSH_MILLIS = 200L
     }
--- a/src/main/kotlin/org/primrosesill/forwarding/RetryAllowance.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/RetryAllowance.kt
@@ -19,7 +19,7 @@
 
 /** Owned by the traffic thread. Times are milliseconds of a steady clock. */
 public class RetryAllowance(
-    private val bound: RetryBound,
+    private val bound: () -> RetryBound,
     private val members: () -> FleetMembers,
     private val nowMillis: () -> Long,
 ) {
@@ -34,9 +34,9 @@
     public fun tryTake(pool: PoolId): Boolean {
         val window = window(pool)
         val now = nowMillis()
-        window.requests.dropBefore(now - bound.windowMillis)
-        window.sends.dropBefore(now - bound.windowMillis)
-        if (window.sends.size + 1 > bound.ratio * RATIO_PART * window.requests.size + fixedPart()) return false
+        window.requests.dropBefore(now - bound().windowMillis)
+        window.sends.dropBefore(now - bound().windowMillis)
+        if (window.sends.size + 1 > bound().ratio * RATIO_PART * window.requests.size + fixedPart()) return false
         window.sends.add(now)
         return true
     }
@@ -44,7 +44,7 @@
     /** Half is held back for sends of routers that ended lately, whose successors know nothing of them. */
     private fun fixedPart(): Double {
         val fleet = members()
-        return if (fleet.settled) bound.fixed * FIXED_PART / (fleet.others.size + 1) else 0.0
+        return if (fleet.settled) bound().fixed * FIXED_PART / (fleet.others.size + 1) else 0.0
     }
 
     private fun window(pool: PoolId) = pools.getOrPut(pool) { Window() }
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
@@ -44,6 +44,9 @@
     /** How long ago this view was the newest one, or null when that was never seen. */
     val ageMillis: Long? get() = freshness.ageMillis(nowMillis())
 
+    /** Why the platform did not answer this gateway when it asked last, or null when it did. */
+    val platformFailure: String? get() = platformError
+
     val platformReachableMillis: Long? get() = directory.platformReachableFor(nowMillis())
 
     fun itemsAfter(revision: Long): List<PlatformItem> = directory.itemsAfter(revision)
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -8,6 +8,8 @@
 import kotlinx.coroutines.launch
 import org.primrosesill.discovery.PlatformChanges
 import org.primrosesill.discovery.PlatformItem
+import org.primrosesill.event.EventLog
+import org.primrosesill.generated.EventType
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.RelayedItem
@@ -21,6 +23,7 @@
     private val fleet: Fleet,
     private val keeper: DirectoryKeeper,
     private val client: PeerClient,
+    private val events: EventLog,
     private val nowMillis: () -> Long,
     private val send: (Collection<String>, ExchangeMessage) -> Unit,
 ) {
@@ -74,15 +77,20 @@
         delay(patience())
         val since = keeper.revision
         (fleet.ahead(since) ?: sender).let { peer ->
-            client.items(peer.address, since).onRight { page ->
-                val items = page.items.map { PlatformItem(it.key, it.revision, it.value) }
-                val reachable = page.reachableMillis.takeIf { it >= 0 }
-                keeper.takeFromPeer(since, PlatformChanges(page.revision, items), reachable, "gateway ${peer.address}")
-            }
+            client.items(peer.address, since).fold(
+                { events.record(EventType.PEER_FAILED, "changes after revision $since: $it") },
+                { takeItems(peer, since, it) },
+            )
         }
         catchingUp = false
     }
 
+    private fun takeItems(peer: Member, since: Long, page: RelayedItems) {
+        val items = page.items.map { PlatformItem(it.key, it.revision, it.value) }
+        val reachable = page.reachableMillis.takeIf { it >= 0 }
+        keeper.takeFromPeer(since, PlatformChanges(page.revision, items), reachable, "gateway ${peer.address}")
+    }
+
     /** A gateway that watches the platform usually hears of a change from it first. */
     private fun patience(): Duration = if (fleet.reads(keeper.ageMillis)) READER_PATIENCE else Duration.ZERO
 
--- a/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
@@ -18,10 +18,20 @@
 private val TICK_INTERVAL = 400.milliseconds
 
 /** A started gateway. */
-public class Gateway internal constructor(private val parts: GatewayParts, private val callers: HttpListener) {
-    /** Serves until the platform sends no more callers and all requests have ended, or the grace is over. */
-    public suspend fun stop(): Unit = StopSequence(parts, callers).run()
-}
+public class Gateway internal constructor(private val parts: GatewayParts, private val callers: HttpListener) :
+    AutoCloseable {
+        /** Puts the settings in [text], as the file holds them now, in force as far as they can change while it runs. */
+        public fun reload(text: String): Unit = parts.inForce.reload(text)
+
+        /** Records that the file of the settings cannot be read, for [reason]. */
+        public fun reloadFailed(reason: String): Unit = parts.inForce.unreadable(reason)
+
+        /** Serves until the platform sends no more callers and all requests have ended, or the grace is over. */
+        public suspend fun stop(): Unit = StopSequence(parts, callers).run()
+
+        /** Ends at once, with requests in flight. */
+        override fun close(): Unit = parts.close()
+    }
 
 /** Binds the addresses of [settings] and starts the loops of a gateway on the platform behind [adapter]. */
 public suspend fun startGateway(settings: GatewaySettings, adapter: PlatformAdapter, events: EventLog): Gateway {
@@ -29,6 +39,7 @@
     val callers = startHttpListener(parts.loop, settings.callerAddress, parts::callerLimits, parts.forwarder)
     startHttpListener(parts.loop, settings.readinessAddress, ::ListenerLimits, parts.readiness)
     startHttpListener(parts.loop, settings.peerAddress, ::ListenerLimits, parts.peerHandler)
+    startHttpListener(parts.loop, settings.metricsAddress, ::ListenerLimits, parts.operatorHandler)
     startLoops(parts)
     events.record(EventType.PROCESS_STARTED, "callers at ${settings.callerAddress}, peers at ${settings.peerAddress}")
     return Gateway(parts, callers)
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.concurrent.FaultReport
@@ -49,11 +50,9 @@
 /** Milliseconds of a clock that never goes back. */
 internal fun steadyMillis(): Long = System.nanoTime() / 1_000_000
 
-internal class GatewayParts(
-    val settings: GatewaySettings,
-    private val adapter: PlatformAdapter,
-    val events: EventLog,
-) {
+internal class GatewayParts(atStart: GatewaySettings, private val adapter: PlatformAdapter, val events: EventLog) {
+    val inForce = SettingsInForce(atStart, events)
+    val settings: GatewaySettings get() = inForce.value
     val faults = FaultReport { events.record(EventType.PROCESS_FAULT, describeFault(it)) }
     val loop = TrafficLoop(faults)
     val control = ControlThread()
@@ -72,7 +71,7 @@
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), settled = false), FleetLoad()))
     private val coldStart =
         ColdStartBudget(
-            ColdStartBound(settings.coldStartOverage, settings.coldStartTolerance),
+            { ColdStartBound(settings.coldStartOverage, settings.coldStartTolerance) },
             { fleetView.get().members },
             ::steadyMillis,
         )
@@ -92,12 +91,12 @@
             controlScope.launch { exchange.receive(message) }
         }
     val fleet = Fleet(self, settings.peers.toSet() - settings.peerAddress, news, events, steadyMillis(), Random.Default)
-    val exchange: ExchangeLoop = ExchangeLoop(controlScope, fleet, keeper, peers, ::steadyMillis, gossip::send)
+    val exchange: ExchangeLoop = ExchangeLoop(controlScope, fleet, keeper, peers, events, ::steadyMillis, gossip::send)
     val platformLoop =
         PlatformLoop(adapter.feed(settings.platformAddress, client), keeper) { fleet.reads(keeper.ageMillis) }
     val peerHandler = PeerHandler(exchange, news, control.dispatcher)
     val heldPartsLoop =
-        HeldPartsLoop(settings.firstStart, keeper, fleet, peers, news, exchange::startRound) {
+        HeldPartsLoop(settings.firstStart, keeper, fleet, peers, news, events, exchange::startRound) {
             adapter.heldParts(it, client)
         }
 
@@ -111,7 +110,7 @@
                 activity = activity,
                 index = index,
                 loads = loads,
-                retries = RetryAllowance(retryBound(settings), { fleetView.get().members }, ::steadyMillis),
+                retries = RetryAllowance({ retryBound(settings) }, { fleetView.get().members }, ::steadyMillis),
                 client = client,
                 metrics = metrics,
                 events = { type, request, upstream, cause ->
@@ -126,6 +125,19 @@
             answer.respond(OutboundHead(if (ready) 200 else 503))
         }
 
+    val operatorHandler =
+        OperatorHandler(metrics, control.dispatcher) { gatewayStatus(isReady(), fleet, keeper, loads) }
+
+    init {
+        metrics.gauge("members") {
+            fleetView
+                .get()
+                .members.others.size + 1
+        }
+        metrics.gauge("upstreams.listed") { keeper.view.upstreamIds.size }
+        metrics.gauge("configuration.version") { keeper.view.configuration?.version ?: 0 }
+    }
+
     fun isReady(): Boolean = !stopping && keeper.view.configuration != null && keeper.view.upstreams.isNotEmpty()
 
     fun callerLimits(): ListenerLimits {
@@ -149,6 +161,13 @@
         fleetView.set(fleet.view(now))
     }
 
+    fun close() {
+        controlScope.cancel()
+        gossip.close()
+        loop.close()
+        control.close()
+    }
+
     private fun placementInputs() =
         PlacementInputs(
             zone = settings.availabilityZone,
--- a/src/main/kotlin/org/primrosesill/gateway/HeldPartsLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/HeldPartsLoop.kt
@@ -14,6 +14,9 @@
 import kotlinx.coroutines.launch
 import org.primrosesill.discovery.FeedError
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.event.EventLog
+import org.primrosesill.event.EventSubject
+import org.primrosesill.generated.EventType
 import org.primrosesill.generated.HeldParts
 import org.primrosesill.generated.Member
 import org.primrosesill.model.UpstreamId
@@ -28,6 +31,7 @@
     private val fleet: Fleet,
     private val peers: PeerClient,
     private val news: TrafficNews,
+    private val events: EventLog,
     private val startRound: () -> Unit,
     private val askEngine: suspend (String) -> Either<FeedError, List<PromptPartId>>,
 ) {
@@ -43,21 +47,27 @@
     }
 
     private suspend fun learnFrom(engine: KnownUpstream) {
-        askEngine(engine.registration.address).onRight { ids ->
-            news.takeHeldParts(HeldParts(mapOf(engine.id.value to ids.map(PromptPartId::value))))
-        }
+        askEngine(engine.registration.address).fold(
+            { events.record(EventType.PEER_FAILED, "what it has read: $it", EventSubject(upstream = engine.id)) },
+            { ids -> news.takeHeldParts(HeldParts(mapOf(engine.id.value to ids.map(PromptPartId::value)))) },
+        )
     }
 
     private suspend fun learnFromPeers(): Boolean {
         for (peer in fleet.others().shuffled().take(PEERS_ASKED)) {
-            val parts = peers.heldParts(peer.address).getOrNull() ?: continue
-            if (parts.engines.isEmpty()) continue
+            val parts = peers.heldParts(peer.address).fold({ noteFailure(it) }, { it })
+            if (parts == null || parts.engines.isEmpty()) continue
             news.takeHeldParts(parts)
             return true
         }
         return false
     }
 
+    private fun noteFailure(failure: PeerFailure): HeldParts? {
+        events.record(EventType.PEER_FAILED, "what engines have read: $failure")
+        return null
+    }
+
     private fun engines(): List<KnownUpstream> {
         val view = keeper.view
         val pools =
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/gateway/OperatorHandler.kt
@@ -0,0 +1,39 @@
+/*
+ * Answers operators: metrics as text, and what this gateway believes.
+ */
+package org.primrosesill.gateway
+
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.encodeToString
+import org.primrosesill.forwarding.InboundRequest
+import org.primrosesill.forwarding.OutboundAnswer
+import org.primrosesill.forwarding.OutboundHead
+import org.primrosesill.forwarding.RequestHandler
+import org.primrosesill.generated.RouterStatus
+import org.primrosesill.http.STATUS_PATH
+import org.primrosesill.http.messageJson
+import org.primrosesill.model.headerFieldsOf
+
+internal class OperatorHandler(
+    private val metrics: GatewayMetrics,
+    private val control: CoroutineDispatcher,
+    private val status: () -> RouterStatus,
+) : RequestHandler {
+    override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
+        when (request.path) {
+            METRICS_PATH -> answer.respond(head("text/plain; version=0.0.4"), metrics.scrape().toByteArray())
+            STATUS_PATH -> answer.respond(head("application/json"), currentStatus())
+            else -> answer.respond(OutboundHead(404))
+        }
+    }
+
+    private suspend fun currentStatus(): ByteArray {
+        val current = withContext(control) { status() }
+        return messageJson.encodeToString(current).toByteArray()
+    }
+
+    private fun head(contentType: String) = OutboundHead(200, headerFieldsOf("Content-Type" to contentType))
+}
+
+internal const val METRICS_PATH = "/metrics"
--- a/src/main/kotlin/org/primrosesill/placement/ColdStartBudget.kt
+++ b/src/main/kotlin/org/primrosesill/placement/ColdStartBudget.kt
@@ -27,7 +27,7 @@
 
 /** Owned by the traffic thread. Times are milliseconds of a steady clock. */
 public class ColdStartBudget(
-    private val bound: ColdStartBound,
+    private val bound: () -> ColdStartBound,
     private val members: () -> FleetMembers,
     private val nowMillis: () -> Long,
 ) {
@@ -59,7 +59,8 @@
     private fun share(upstream: UpstreamId, ratePerSecond: Double): Int {
         val fleet = members()
         if (!fleet.settled) return 0
-        val total = ((ratePerSecond * bound.overage + bound.tolerance) * USED_PART).toInt()
+        val inForce = bound()
+        val total = ((ratePerSecond * inForce.overage + inForce.tolerance) * USED_PART).toInt()
         val routers = fleet.others.size + 1
         if (routers <= total) return total / routers
         val own = rank(upstream, fleet.self)
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -140,7 +140,7 @@
                 loads = UpstreamLoads(activity) { 0 },
                 retries =
                     RetryAllowance(
-                        retryBound,
+                        { retryBound },
                         { FleetMembers(RouterId("self"), emptySet(), settled = true) },
                         { 0 },
                     ),
--- a/src/test/kotlin/org/primrosesill/forwarding/RetryAllowanceTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/RetryAllowanceTest.kt
@@ -30,13 +30,13 @@
         var now = 0L
         val bound = RetryBound(0.2, WINDOW_MILLIS, fixed = 52)
         val members = fleetOf(routers)
-        val fleet = MutableList(routers) { RetryAllowance(bound, { members }, { now }) }
+        val fleet = MutableList(routers) { RetryAllowance({ bound }, { members }, { now }) }
         val requests = mutableListOf<Long>()
         val sends = mutableListOf<Long>()
         while (now < 60_000) {
             now += 1
             if (random.nextDouble() < replacedEachSecond / 1_000) {
-                fleet[random.nextInt(routers)] = RetryAllowance(bound, { members }, { now })
+                fleet[random.nextInt(routers)] = RetryAllowance({ bound }, { members }, { now })
             }
             if (random.nextDouble() >= requestsPerSecond / 1_000.0) continue
             val router = fleet[random.nextInt(routers)]
--- a/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
@@ -121,7 +121,7 @@
             activity,
             UpstreamLoads(activity) { 0 },
             PartIndex { 0 },
-            ColdStartBudget(ColdStartBound(1.5, 5), { FleetMembers(RouterId("self"), emptySet(), settled) }, { 0 }),
+            ColdStartBudget({ ColdStartBound(1.5, 5) }, { FleetMembers(RouterId("self"), emptySet(), settled) }, { 0 }),
             { fleet },
             { 0 },
             Random(SEED),
--- a/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
+++ b/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
@@ -92,7 +92,7 @@
                     activity,
                     loads,
                     index,
-                    ColdStartBudget(ColdStartBound(1.5, 5), { members }, { now }),
+                    ColdStartBudget({ ColdStartBound(1.5, 5) }, { members }, { now }),
                     { FleetLoad() },
                     { now },
                     Random(seed + number),
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
@@ -0,0 +1,156 @@
+/*
+ * Two gateways in two zones before the stand-in of the users' site, all on loopback, and a caller.
+ */
+package org.primrosesill.platform
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.primrosesill.concurrent.throwFaults
+import org.primrosesill.gateway.Gateway
+import org.primrosesill.gateway.startGateway
+import org.primrosesill.generated.GatewaySettings
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.model.headerFieldsOf
+import org.primrosesill.request.BodyPart
+import org.primrosesill.request.ConnectionUse
+import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.RecordingEvents
+import org.primrosesill.request.UpstreamCall
+import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.nettyUpstreamClient
+import java.net.ServerSocket
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** What a caller got. A status of 0 stands for a connection that ended without an answer. */
+data class CallerAnswer(val status: Int, val body: String, val whole: Boolean)
+
+private fun freeAddress(): String = "127.0.0.1:${ServerSocket(0).use { it.localPort }}"
+
+/** A request to the gateway at [gateway] in the order of their start. */
+data class CallerRequest(
+    val target: String,
+    val id: String,
+    val method: String = "GET",
+    val key: String = SiteStandIn.KEY,
+    val gateway: Int = 0,
+    val body: String? = null,
+)
+
+class GatewayFixture(
+    engines: Int = 2,
+    desks: Int = 2,
+    zones: List<String> = listOf("a", "b"),
+    private val storeMode: StoreMode = StoreMode.NORMAL,
+) : AutoCloseable {
+    private val loop = TrafficLoop(throwFaults)
+    private val client = nettyUpstreamClient(loop)
+    val site = SiteStandIn(loop, engines, desks, zones)
+    val events = RecordingEvents()
+    val settings = mutableListOf<GatewaySettings>()
+    val gateways = mutableListOf<Gateway>()
+
+    fun start() =
+        runBlocking {
+            site.start()
+            listOf("a", "b").forEach { startGateway(it) }
+            site.store.mode = storeMode
+            gateways.indices.forEach { awaitReady(it) }
+        }
+
+    /** Starts a further gateway in [zone]. It need not get ready. */
+    suspend fun startGateway(zone: String) {
+        settings +=
+            GatewaySettings(
+                name = "gateway-$zone-${settings.size}",
+                availabilityZone = AvailabilityZoneId(zone),
+                callerAddress = freeAddress(),
+                readinessAddress = freeAddress(),
+                // Gossip uses one port on all gateways, so that each needs an IP number of its own.
+                peerAddress = "127.0.0.${settings.size + 2}:${freeAddress().substringAfter(':')}",
+                metricsAddress = freeAddress(),
+                gossipPort = GOSSIP_PORT,
+                platformAddress = site.storeAddress,
+                peers = settings.map { it.peerAddress },
+                retryFixed = 50,
+                stopGraceMillis = 4_000,
+            )
+        gateways += startGateway(settings.last(), usersPlatform(), events)
+    }
+
+    suspend fun awaitReady(gateway: Int) =
+        await("gateway $gateway is ready") { get(settings[gateway].readinessAddress, "/api/readyz").status == 200 }
+
+    suspend fun get(address: String, target: String): CallerAnswer =
+        exchange(address, "GET", target, HeaderFields(), null)
+
+    suspend fun call(request: CallerRequest): CallerAnswer {
+        val fields =
+            headerFieldsOf(
+                "Authorization" to "Bearer ${request.key}",
+                "X-Attempt-Id" to request.id,
+                "X-Deadline-Ms" to "3000",
+                "X-Token-Usage" to "30,10",
+                "X-Prefix-Hash" to "a1:10,b2:20",
+            )
+        val address = settings[request.gateway].callerAddress
+        return exchange(address, request.method, request.target, fields, request.body?.toByteArray())
+    }
+
+    private suspend fun exchange(
+        address: String,
+        method: String,
+        target: String,
+        fields: HeaderFields,
+        body: ByteArray?,
+    ): CallerAnswer {
+        val call =
+            UpstreamCall(
+                upstream = UpstreamId(address),
+                address = address,
+                method = method,
+                path = target,
+                requestId = "",
+                headers = fields,
+                body = body,
+                timeout = 5.seconds,
+                host = "h.example",
+                connection = ConnectionUse.Fresh,
+            )
+        val result =
+            client.exchange(call) { answer ->
+                val text = StringBuilder()
+                var last = answer.body.next()
+                while (last is BodyPart.Bytes) {
+                    text.append(last.bytes.decodeToString())
+                    last = answer.body.next()
+                }
+                CallerAnswer(answer.status, text.toString(), last == BodyPart.End)
+            }
+        return (result as? ExchangeResult.Answered)?.value ?: CallerAnswer(0, "$result", whole = false)
+    }
+
+    override fun close() {
+        gateways.forEach { it.close() }
+        loop.close()
+    }
+
+    private companion object {
+        val GOSSIP_PORT = ServerSocket(0).use { it.localPort }
+    }
+}
+
+/** Waits until [condition] holds, and fails after [limit]. */
+suspend fun await(description: String, limit: Duration = 5.seconds, condition: suspend () -> Boolean) {
+    val start = TimeSource.Monotonic.markNow()
+    while (!condition()) {
+        check(start.elapsedNow() < limit) { "not within $limit: $description" }
+        delay(POLL)
+    }
+}
+
+private val POLL = 20.milliseconds
