Spend shared budgets only once the fleet is known

Cause, found by reading: a gateway that woke from a pause of more than 10 s had forgotten all others and took the whole budget of a cold upstream; one that had just started took its part as soon as it had heard its seeds, while the others of a large fleet were still unknown.

Change: after a start and after a pause of 2 s or more, a gateway spends nothing shared until it has heard its seeds and of nobody new for 0.8 s, or 3 s have passed. A datagram with a value that its type does not allow no longer ends the thread that receives them.

Tests: AcquaintanceTest (both pause cases fail without the rule).

--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -36,12 +36,13 @@
     private val seeds: Set<String>,
     private val news: TrafficNews,
     private val events: EventLog,
-    private val startedAtMillis: Long,
+    startedAtMillis: Long,
     private val random: Random,
 ) {
     private val members = MemberTable(self, seeds, expectsVmList = false, MEMBER_SETTINGS)
     private val parts = PartTable(self.router, PART_EXPIRY_MILLIS)
     private val memory = FleetMemory(self.availabilityZone)
+    private val acquaintance = Acquaintance(startedAtMillis)
     private val wanted = LinkedHashSet<String>()
     private var round = 0L
 
@@ -91,14 +92,16 @@
     /** Says in the next exchange that this gateway is stopping. */
     fun leave() = members.updateSelf(members.self().copy(state = MemberState.LEAVING))
 
-    fun tick(nowMillis: Long) = record(members.tick(nowMillis))
+    fun tick(nowMillis: Long) {
+        record(members.tick(nowMillis))
+        acquaintance.tick(nowMillis, memory.heardAll(seeds))
+    }
 
     fun view(nowMillis: Long): FleetView {
         val live = members.live().mapTo(HashSet()) { it.router } - members.self().router
         val others = memory.recent(nowMillis) + live
-        val settled = nowMillis - startedAtMillis > SETTLING_MILLIS || memory.heardAll(seeds)
         val load = FleetLoad(memory.silentZones(nowMillis))
-        return FleetView(FleetMembers(members.self().router, others, settled), load)
+        return FleetView(FleetMembers(members.self().router, others, acquaintance.isSettled), load)
     }
 
     /** Returns a gateway that knows more of the platform's items than [revision], or null. */
@@ -135,7 +138,7 @@
     }
 
     private fun observe(member: Member, nowMillis: Long) {
-        memory.heard(member, nowMillis)
+        if (memory.heard(member, nowMillis)) acquaintance.joined(nowMillis)
         record(members.observe(member, nowMillis))
     }
 
@@ -153,8 +156,6 @@
         }
 
     private companion object {
-        /** Until then some gateways may not have been heard. */
-        const val SETTLING_MILLIS = 3_000L
         const val PART_EXPIRY_MILLIS = 1_500L
         const val MAXIMUM_WANTED = 20
 
--- a/src/main/kotlin/org/primrosesill/gateway/FleetMemory.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/FleetMemory.kt
@@ -14,16 +14,18 @@
     private val zones = HashMap<AvailabilityZoneId, Long>()
     private val addresses = HashSet<String>()
 
-    /** Takes [member] as some gateway passed it on. Only a heartbeat that is new shows that it is alive. */
-    fun heard(member: Member, nowMillis: Long) {
-        val before = heartbeats.put(member.router, member.heartbeat)
-        if (before != null && before >= member.heartbeat) {
-            heartbeats[member.router] = before
-            return
-        }
+    /**
+     * Takes [member] as some gateway passed it on, and returns whether it was not known. Only a heartbeat that is new shows
+     * that it is alive.
+     */
+    fun heard(member: Member, nowMillis: Long): Boolean {
+        val before = heartbeats[member.router]
+        if (before != null && before >= member.heartbeat) return false
+        heartbeats[member.router] = member.heartbeat
         heard[member.router] = nowMillis
         addresses += member.address
         zones[member.availabilityZone] = nowMillis
+        return before == null
     }
 
     /** The gateways that may be alive. One that was cut off goes on to spend its part of each budget. */
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -134,6 +134,7 @@
                 .get()
                 .members.others.size + 1
         }
+        metrics.gauge("fleet.settled") { if (fleetView.get().members.settled) 1 else 0 }
         metrics.gauge("upstreams.listed") { keeper.view.upstreamIds.size }
         metrics.gauge("configuration.version") { keeper.view.configuration?.version ?: 0 }
     }
--- a/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
@@ -4,7 +4,6 @@
  */
 package org.primrosesill.gateway
 
-import kotlinx.serialization.SerializationException
 import org.primrosesill.event.EventLog
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.ExchangeMessage
@@ -70,7 +69,8 @@
                 return
             } catch (exception: IOException) {
                 note("a datagram could not be received: $exception")
-            } catch (exception: SerializationException) {
+            } catch (exception: IllegalArgumentException) {
+                // Also thrown for values that their types do not allow.
                 note("a datagram is not a message of a gateway: ${exception.message?.lineSequence()?.first()}")
             }
         }
--- a/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
+++ b/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
@@ -60,6 +60,7 @@
             listOf("a", "b").forEach { startGateway(it) }
             site.store.mode = storeMode
             gateways.indices.forEach { awaitReady(it) }
+            gateways.indices.forEach { awaitSettled(it) }
         }
 
     /** Starts a further gateway in [zone]. It need not get ready. */
@@ -85,6 +86,12 @@
     suspend fun awaitReady(gateway: Int) =
         await("gateway $gateway is ready") { get(settings[gateway].readinessAddress, "/api/readyz").status == 200 }
 
+    /** Until then a gateway spends nothing of what all share, so that few requests are tried again. */
+    private suspend fun awaitSettled(gateway: Int) =
+        await("gateway $gateway knows the fleet") {
+            get(settings[gateway].metricsAddress, "/metrics").body.contains("primrosesill_fleet_settled 1")
+        }
+
     suspend fun get(address: String, target: String): CallerAnswer =
         exchange(address, "GET", target, HeaderFields(), null)
 
