--- a/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
+++ b/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
@@ -29,7 +29,8 @@
 /** What a caller got. A status of 0 stands for a connection that ended without an answer. */
 data class CallerAnswer(val status: Int, val body: String, val whole: Boolean)
 
-private fun freeAddress(): String = "127.0.0.1:${ServerSocket(0).use { it.localPort }}"
+/** An address on loopback that was free a moment ago. */
+internal fun freeAddress(): String = "127.0.0.1:${ServerSocket(0).use { it.localPort }}"
 
 /** A request to the gateway at [gateway] in the order of their start. */
 data class CallerRequest(
@@ -41,6 +42,59 @@
     val body: String? = null,
 )
 
+/** Sends requests as callers do, each on a connection of its own. */
+class TestCaller(loop: TrafficLoop) {
+    private val client = nettyUpstreamClient(loop)
+
+    suspend fun get(address: String, target: String): CallerAnswer =
+        exchange(address, "GET", target, HeaderFields(), null)
+
+    suspend fun call(address: String, request: CallerRequest): CallerAnswer {
+        val fields =
+            headerFieldsOf(
+                "Authorization" to "Bearer ${request.key}",
+                "X-Attempt-Id" to request.id,
+                "X-Deadline-Ms" to "3000",
+                "X-Token-Usage" to "30,10",
+                "X-Prefix-Hash" to "a1:10,b2:20",
+            )
+        return exchange(address, request.method, request.target, fields, request.body?.toByteArray())
+    }
+
+    private suspend fun exchange(
+        address: String,
+        method: String,
+        target: String,
+        fields: HeaderFields,
+        body: ByteArray?,
+    ): CallerAnswer {
+        val call =
+            UpstreamCall(
+                upstream = UpstreamId(address),
+                address = address,
+                method = method,
+                path = target,
+                requestId = "",
+                headers = fields,
+                body = body,
+                timeout = 5.seconds,
+                host = "h.example",
+                connection = ConnectionUse.Fresh,
+            )
+        val result =
+            client.exchange(call) { answer ->
+                val text = StringBuilder()
+                var last = answer.body.next()
+                while (last is BodyPart.Bytes) {
+                    text.append(last.bytes.decodeToString())
+                    last = answer.body.next()
+                }
+                CallerAnswer(answer.status, text.toString(), last == BodyPart.End)
+            }
+        return (result as? ExchangeResult.Answered)?.value ?: CallerAnswer(0, "$result", whole = false)
+    }
+}
+
 class GatewayFixture(
     engines: Int = 2,
     desks: Int = 2,
@@ -48,7 +102,7 @@
     private val storeMode: StoreMode = StoreMode.NORMAL,
 ) : AutoCloseable {
     private val loop = TrafficLoop(throwFaults)
-    private val client = nettyUpstreamClient(loop)
+    private val caller = TestCaller(loop)
     val site = SiteStandIn(loop, engines, desks, zones)
     val events = RecordingEvents()
     val settings = mutableListOf<GatewaySettings>()
@@ -92,54 +146,10 @@
             get(settings[gateway].metricsAddress, "/metrics").body.contains("primrosesill_fleet_settled 1")
         }
 
-    suspend fun get(address: String, target: String): CallerAnswer =
-        exchange(address, "GET", target, HeaderFields(), null)
-
-    suspend fun call(request: CallerRequest): CallerAnswer {
-        val fields =
-            headerFieldsOf(
-                "Authorization" to "Bearer ${request.key}",
-                "X-Attempt-Id" to request.id,
-                "X-Deadline-Ms" to "3000",
-                "X-Token-Usage" to "30,10",
-                "X-Prefix-Hash" to "a1:10,b2:20",
-            )
-        val address = settings[request.gateway].callerAddress
-        return exchange(address, request.method, request.target, fields, request.body?.toByteArray())
-    }
+    suspend fun get(address: String, target: String): CallerAnswer = caller.get(address, target)
 
-    private suspend fun exchange(
-        address: String,
-        method: String,
-        target: String,
-        fields: HeaderFields,
-        body: ByteArray?,
-    ): CallerAnswer {
-        val call =
-            UpstreamCall(
-                upstream = UpstreamId(address),
-                address = address,
-                method = method,
-                path = target,
-                requestId = "",
-                headers = fields,
-                body = body,
-                timeout = 5.seconds,
-                host = "h.example",
-                connection = ConnectionUse.Fresh,
-            )
-        val result =
-            client.exchange(call) { answer ->
-                val text = StringBuilder()
-                var last = answer.body.next()
-                while (last is BodyPart.Bytes) {
-                    text.append(last.bytes.decodeToString())
-                    last = answer.body.next()
-                }
-                CallerAnswer(answer.status, text.toString(), last == BodyPart.End)
-            }
-        return (result as? ExchangeResult.Answered)?.value ?: CallerAnswer(0, "$result", whole = false)
-    }
+    suspend fun call(request: CallerRequest): CallerAnswer =
+        caller.call(settings[request.gateway].callerAddress, request)
 
     override fun close() {
         gateways.forEach { it.close() }
--- a/src/test/kotlin/org/primrosesill/process/ProcessSite.kt
+++ b/src/test/kotlin/org/primrosesill/process/ProcessSite.kt
@@ -71,6 +71,10 @@
 
     fun resume() = signal("CONT")
 
+    fun reload() = signal("HUP")
+
+    val isAlive: Boolean get() = process.isAlive
+
     private fun signal(name: String) {
         ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
     }
