Tell all zones of news at once, and near gateways of all work

Change: an announcement goes to gateways of all zones, each of which passes it on, and carries the revision only. In fleets of up to 12 a round tells all gateways of the zone and one of each other zone, and the others watch the store at an age of 1.2 to 1.5 s. A gateway that is leaving is no reader. A watch lasts 1 s, so that evidence is fresher. The bound on the load of an engine has a slack of 2 in place of 2.5.

Tests: ReaderDutyTest, GossipTest (announcements, small fleets).

--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -44,14 +44,15 @@
         send(round.addresses, round.message)
     }
 
-    /** Tells some near gateways at once that there is news, and they tell others. */
+    /** Tells some gateways of each zone at once that there is news, and they tell others. */
     fun announce() {
         if (announcing) return
         announcing = true
         scope.launch {
             delay(GATHERING)
             announcing = false
-            send(fleet.nearPeers(ANNOUNCED_PEERS).map { it.address }, fleet.message(keeper))
+            val announcement = fleet.announcement(keeper)
+            send(announcement.addresses, announcement.message)
         }
     }
 
@@ -100,6 +101,5 @@
 
         /** Changes often come in groups. */
         val GATHERING = 20.milliseconds
-        const val ANNOUNCED_PEERS = 3
     }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -9,6 +9,7 @@
 import org.primrosesill.exchange.PartTable
 import org.primrosesill.exchange.SHORT_CODE_LENGTH
 import org.primrosesill.exchange.heartbeatDigest
+import org.primrosesill.exchange.planAnnouncement
 import org.primrosesill.exchange.planGossip
 import org.primrosesill.exchange.planProbes
 import org.primrosesill.exchange.readHeartbeatDigest
@@ -60,9 +61,13 @@
     /** What this gateway tells in an exchange. */
     fun message(keeper: DirectoryKeeper): ExchangeMessage = message(keeper, emptyList())
 
-    /** Returns up to [count] gateways of the own zone, at random. */
-    fun nearPeers(count: Int): List<Member> =
-        others().filter { it.availabilityZone == members.self().availabilityZone }.shuffled(random).take(count)
+    /** Returns what tells some gateways, in all zones, that this one knows more of the platform's items. */
+    fun announcement(keeper: DirectoryKeeper): FleetRound {
+        val told = planAnnouncement(members.self(), members.live(), ANNOUNCED_NEAR, ANNOUNCED_FAR, random)
+        val part = RouterPart(members.self(), keeper.revision)
+        val age = keeper.ageMillis ?: -1
+        return FleetRound(told.map { it.address }, ExchangeMessage(round, listOf(part), platformAgeMillis = age))
+    }
 
     /** Whether this gateway watches the platform, when its view is [ageMillis] old. */
     fun reads(ageMillis: Long?): Boolean = readsPlatform(members.self(), members.live(), ageMillis)
@@ -156,6 +161,9 @@
         }
 
     private companion object {
+        /** Each gateway that hears passes it on, so that few are missed. */
+        const val ANNOUNCED_NEAR = 3
+        const val ANNOUNCED_FAR = 2
         const val PART_EXPIRY_MILLIS = 1_500L
         const val MAXIMUM_WANTED = 20
 
--- a/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
@@ -62,10 +62,10 @@
 
     private companion object {
         const val SOURCE = "the platform"
-        val DUTY_CHECK = 400.milliseconds
+        val DUTY_CHECK = 200.milliseconds
 
-        /** A connection that fell silent is found out after that time. */
-        val WATCH_TIME = 2.seconds
+        /** A connection that fell silent is found out after that time, and others hear that the view is fresh. */
+        val WATCH_TIME = 1.seconds
 
         /** Changes often come in groups, and each call to the platform costs something. */
         val PAUSE = 100.milliseconds
--- a/src/main/kotlin/org/primrosesill/gateway/ReaderDuty.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ReaderDuty.kt
@@ -5,17 +5,24 @@
 package org.primrosesill.gateway
 
 import org.primrosesill.configuration.ReaderElection
+import org.primrosesill.exchange.SMALL_FLEET
 import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
 
 /** Fewest gateways that watch, so that the loss of two leaves one. */
 private const val MINIMUM_READERS = 3
 
-/** Age of the views at which the first of the other gateways starts to watch. */
-private const val MAXIMUM_AGE_MILLIS = 1_800L
-
-/** The others follow one after the other. */
+/**
+ * Age of the views at which the first of the other gateways starts to watch, and at which the last one has followed. An
+ * upstream that leaves must get nothing new after 2 s, a question to the platform included.
+ */
+private const val MAXIMUM_AGE_MILLIS = 1_200L
+private const val LAST_READER_MILLIS = 300L
 private const val NEXT_READER_MILLIS = 60L
-private const val LAST_READER_MILLIS = 900L
+
+/** In a large fleet evidence takes longer to get around, and news arrives on many ways. */
+private const val LARGE_FLEET_AGE_MILLIS = 1_800L
+private const val LARGE_FLEET_LAST_READER_MILLIS = 900L
 
 /**
  * Returns whether [self] watches the platform. Pure.
@@ -25,11 +32,20 @@
  */
 internal fun readsPlatform(self: Member, live: List<Member>, ageMillis: Long?): Boolean {
     if (ageMillis == null) return true
-    val order = readingOrder(live)
-    val zones = live.map { it.availabilityZone }.distinct().size
-    val rank = order.indexOf(self)
-    val patience = MAXIMUM_AGE_MILLIS + (rank * NEXT_READER_MILLIS).coerceAtMost(LAST_READER_MILLIS)
-    return rank < maxOf(zones, MINIMUM_READERS) || ageMillis > patience
+    // A gateway that is leaving may be gone before others notice.
+    val staying = live.filter { it.state == MemberState.LIVE }
+    val zones = staying.map { it.availabilityZone }.distinct().size
+    val rank = readingOrder(staying).indexOf(self).takeIf { it >= 0 } ?: live.size
+    return rank < maxOf(zones, MINIMUM_READERS) || ageMillis > patience(rank, live.size)
+}
+
+private fun patience(rank: Int, fleetSize: Int): Long {
+    val turn = rank * NEXT_READER_MILLIS
+    return if (fleetSize <= SMALL_FLEET) {
+        MAXIMUM_AGE_MILLIS + turn.coerceAtMost(LAST_READER_MILLIS)
+    } else {
+        LARGE_FLEET_AGE_MILLIS + turn.coerceAtMost(LARGE_FLEET_LAST_READER_MILLIS)
+    }
 }
 
 /** The first of each zone, then the others. */
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -116,7 +116,7 @@
 
     private companion object {
         const val LOAD_MULTIPLE = 1.6
-        const val LOAD_SLACK = 2.5
+        const val LOAD_SLACK = 2.0
         const val LEAST_LOADED = 2
 
         /** Bytes of an event stream for each token, with the text around it. */
--- a/src/test/kotlin/org/primrosesill/exchange/GossipTest.kt
+++ b/src/test/kotlin/org/primrosesill/exchange/GossipTest.kt
@@ -56,6 +56,41 @@
             }
         }
 
+    // Guards against a gateway that goes on sending to an upstream that leaves, since nobody told it: seen with one reader
+    // stopping and news passed on by chance.
+    @TestFactory
+    fun `an announcement reaches all gateways at once`(): List<DynamicTest> =
+        listOf(3, 6, 8, 12).map { size ->
+            dynamicTest("$size gateways") {
+                val live = fleet(size)
+                for (seed in 1..50) {
+                    val random = Random(seed)
+                    val informed = linkedSetOf(live[0])
+                    val waiting = ArrayDeque(informed)
+                    while (waiting.isNotEmpty()) {
+                        val told = planAnnouncement(waiting.removeFirst(), live, near = 3, far = 2, random)
+                        waiting += told.filter(informed::add)
+                    }
+                    expectThat(informed.size).describedAs("seed $seed").isEqualTo(size)
+                }
+            }
+        }
+
+    // Guards against an engine that gets far more than the mean, since the gateways hear too late of each other's work.
+    @TestFactory
+    fun `in a small fleet each gateway is told by all of its zone and by each other zone`(): List<DynamicTest> =
+        listOf(3, 6, 8, 12).map { size ->
+            dynamicTest("$size gateways") {
+                val live = fleet(size)
+                for (self in live) {
+                    val told = planGossip(1, self, live, Random(1))
+                    val near = live.filter { it.availabilityZone == self.availabilityZone && it != self }
+                    expectThat(told.containsAll(near)).isEqualTo(true)
+                    expectThat(told.map { it.availabilityZone }.toSet().size).isEqualTo(if (near.isEmpty()) 2 else 3)
+                }
+            }
+        }
+
     // Guards against work of a gateway that grows with the fleet.
     @TestFactory
     fun `a gateway of a large fleet sends to two others at the most`(): List<DynamicTest> =
--- a/src/test/kotlin/org/primrosesill/gateway/ReaderDutyTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ReaderDutyTest.kt
@@ -43,20 +43,35 @@
     // Guards against a fleet that stays blind when its readers are cut off from the platform.
     @TestFactory
     fun `others read as soon as their views get old`(): List<DynamicTest> =
-        listOf(6, 84).map { size ->
+        listOf(6 to listOf(1_000L, 1_400L, 1_600L), 84 to listOf(1_800L, 2_200L, 2_800L)).map { (size, ages) ->
             dynamicTest("$size gateways") {
                 val live = fleet(size, 3)
-                val reading =
-                    listOf(0L, 1_800L, 2_200L, 2_800L).map { age ->
-                        live.count { readsPlatform(it, live, age) }
-                    }
-                println("readers at ages 0, 1.8, 2.2 and 2.8 s: $reading")
+                val reading = (listOf(0L) + ages).map { age -> live.count { readsPlatform(it, live, age) } }
+                println("$size gateways: readers at ages 0 and $ages ms: $reading")
                 expectThat(reading[0]).isEqualTo(3)
-                expectThat(reading[2] > 3).describedAs("more read at 2.2 s").isEqualTo(true)
+                expectThat(reading[1]).describedAs("readers while the view is fresh").isEqualTo(3)
+                expectThat(reading[2] > 3).describedAs("more read").isEqualTo(true)
                 expectThat(reading[3]).isEqualTo(size)
             }
         }
 
+    // Guards against a zone whose gateway goes on sending to an upstream that leaves, since its reader is stopping.
+    @Test
+    fun `a gateway that is leaving does not count as a reader`() {
+        val live = fleet(6, 3)
+        val first = live.first { readsPlatform(it, live, ageMillis = 0) }
+        val afterwards = live.map { if (it == first) it.copy(state = MemberState.LEAVING) else it }
+        val reading = afterwards.filter { readsPlatform(it, afterwards, ageMillis = 0) }
+        expectThat(
+            reading
+                .filter { it.state == MemberState.LIVE }
+                .map { it.availabilityZone }
+                .toSet()
+                .size,
+        ).isEqualTo(3)
+        expectThat(reading.size).isEqualTo(3)
+    }
+
     // Guards against a gateway that waits for others before it knows anything.
     @Test
     fun `a gateway without a view reads`() {
