--- a/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PeerClient.kt
@@ -72,13 +72,8 @@
             }
             if (body.size() > MAXIMUM_MESSAGE_BYTES) return PeerFailure(address, "the answer is too large").left()
         }
-        return if (answer.status ==
-            200
-        ) {
-            body.toByteArray().right()
-        } else {
-            PeerFailure(address, "status ${answer.status}").left()
-        }
+        if (answer.status != 200) return PeerFailure(address, "status ${answer.status}").left()
+        return body.toByteArray().right()
     }
 
     private fun <T> decode(
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -26,16 +26,8 @@
         val held = index.heldTokens(prompt)
         val engines = candidates.map { candidate(it, held) }
         val open = belowBound(engines)
-        val chosen =
-            if (isNew(
-                    prompt,
-                    held,
-                )
-            ) {
-                firstRanked(prompt, open)
-            } else {
-                cheapest(request, prompt, open, held, sources)
-            }
+        val isNew = isNew(prompt, held)
+        val chosen = if (isNew) firstRanked(prompt, open) else cheapest(request, prompt, open, held, sources)
         val source = sourceFor(prompt, chosen, held, sources)
         val sourceTokens = source?.let { held[it.id] } ?: 0
         val read = (prompt.promptTokens - maxOf(chosen.heldTokens, sourceTokens)).coerceAtLeast(0)
@@ -79,7 +71,7 @@
     }
 
     private fun firstRanked(prompt: Prompt, engines: List<EngineCandidate>): EngineCandidate =
-        engines.maxBy { rank(prompt, it.upstream.id) - if (it.failureRate > 0.1) Long.MAX_VALUE / 2 else 0 }
+        engines.maxWith(compareBy({ it.failureRate <= FAILING_RATE }, { rank(prompt, it.upstream.id) }))
 
     private fun cheapest(
         request: PlacementRequest,
@@ -119,6 +111,9 @@
         const val LOAD_SLACK = 2.0
         const val LEAST_LOADED = 2
 
+        /** Part of its answers that failed, above which an engine is not the first choice for a prompt that nobody holds. */
+        const val FAILING_RATE = 0.1
+
         /** Bytes of an event stream for each token, with the text around it. */
         const val ANSWER_BYTES_PER_TOKEN = 16
     }
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -40,15 +40,8 @@
             )
         }
         val fleet = inputs.fleet()
-        if (bearing.all {
-                isUnreachable(
-                    it,
-                    fleet,
-                )
-            }
-        ) {
-            return PlacementResult.Refused("no upstream can be reached", CUT_OFF)
-        }
+        val noneReachable = bearing.all { isUnreachable(it, fleet) }
+        if (noneReachable) return PlacementResult.Refused("no upstream can be reached", CUT_OFF)
         val candidates = soundest(bearing, fleet)
         val chosen =
             request.prompt?.let { engines.choose(request, it, candidates, soundSources(request, view, fleet)) }
@@ -77,19 +70,14 @@
 
     /** Those that answered lately in zones that are heard, or else what there is. */
     private fun soundest(upstreams: List<KnownUpstream>, fleet: FleetLoad): List<KnownUpstream> {
-        val reachable =
-            upstreams
-                .filter {
-                    it.registration.availabilityZone !in fleet.silentZones
-                }.ifEmpty { upstreams }
+        val heard = upstreams.filter { it.registration.availabilityZone !in fleet.silentZones }
+        val reachable = heard.ifEmpty { upstreams }
         return reachable.filterNot { activity.isSuspect(it.id) }.ifEmpty { reachable }
     }
 
     /** Engines that are leaving still hand out what they hold. */
     private fun soundSources(request: PlacementRequest, view: DirectoryView, fleet: FleetLoad): List<KnownUpstream> =
-        view.upstreams[request.pool].orEmpty().filter {
-            !isSilent(it, fleet) && !activity.isSuspect(it.id)
-        }
+        view.upstreams[request.pool].orEmpty().filterNot { isSilent(it, fleet) || activity.isSuspect(it.id) }
 
     private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream =
         candidates.shuffled(inputs.random).minBy { upstream ->
