--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -10,31 +10,22 @@
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.UpstreamId
 
-/**
- * The engines of one pool.
- *
- * @property candidates what may get the prompt; not empty
- * @property sources what hands out parts that it has read
- * @property listed all of the pool, also what gets no new work
- */
-internal class EngineChoices(
-    val candidates: List<KnownUpstream>,
-    val sources: List<KnownUpstream>,
-    val listed: List<KnownUpstream>,
-)
-
 internal class EnginePlacement(
     private val zone: AvailabilityZoneId,
     private val activity: UpstreamActivity,
     private val loads: UpstreamLoads,
     private val index: PartIndex,
 ) {
-    /** Returns where the prompt of [request] goes among [choices]. */
-    fun choose(request: PlacementRequest, prompt: Prompt, choices: EngineChoices): PlacementResult.Chosen {
-        val sources = choices.sources
+    /** Returns where the prompt of [request] goes; [candidates] is not empty and holds what may get it. */
+    fun choose(
+        request: PlacementRequest,
+        prompt: Prompt,
+        candidates: List<KnownUpstream>,
+        sources: List<KnownUpstream>,
+    ): PlacementResult.Chosen {
         val held = index.heldTokens(prompt)
-        val engines = choices.candidates.map { candidate(it, held) }
-        val open = belowBound(engines, loadBound(choices.listed))
+        val engines = candidates.map { candidate(it, held) }
+        val open = belowBound(engines)
         val isNew = isNew(prompt, held)
         val chosen = if (isNew) firstRanked(prompt, open) else cheapest(request, prompt, open, held, sources)
         val source = sourceFor(prompt, chosen, held, sources)
@@ -70,15 +61,14 @@
             failureRate = activity.failureRate(upstream.id),
         )
 
-    /** Requests that an engine may have in progress. Engines that get no new work lower the mean, so that it counts them. */
-    private fun loadBound(listed: List<KnownUpstream>): Double =
-        listed.sumOf { loads.of(it.id) }.toDouble() / listed.size * LOAD_MULTIPLE + LOAD_SLACK
-
-    /** The engines that do not carry more than [bound], or those that carry least. */
-    private fun belowBound(engines: List<EngineCandidate>, bound: Double): List<EngineCandidate> =
-        engines
+    /** The engines that do not carry far more than the mean, or those that carry least. */
+    private fun belowBound(engines: List<EngineCandidate>): List<EngineCandidate> {
+        val mean = engines.sumOf { it.inFlight }.toDouble() / engines.size
+        val bound = mean * LOAD_MULTIPLE + LOAD_SLACK
+        return engines
             .filter { it.inFlight + 1 <= bound && it.inFlight < it.upstream.registration.slots }
             .ifEmpty { engines.sortedBy { it.inFlight }.take(LEAST_LOADED) }
+    }
 
     private fun firstRanked(prompt: Prompt, engines: List<EngineCandidate>): EngineCandidate =
         engines.maxWith(compareBy({ it.failureRate <= FAILING_RATE }, { rank(prompt, it.upstream.id) }))
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -44,22 +44,12 @@
         if (noneReachable) return PlacementResult.Refused("no upstream can be reached", CUT_OFF)
         val candidates = soundest(bearing, fleet)
         val chosen =
-            request.prompt?.let { engines.choose(request, it, engineChoices(candidates, request, view, fleet)) }
+            request.prompt?.let { engines.choose(request, it, candidates, soundSources(request, view, fleet)) }
                 ?: PlacementResult.Chosen(leastLoaded(candidates))
         inputs.coldStart.count(chosen.upstream.id)
         return chosen
     }
 
-    private fun engineChoices(
-        candidates: List<KnownUpstream>,
-        request: PlacementRequest,
-        view: DirectoryView,
-        fleet: FleetLoad,
-    ): EngineChoices {
-        val listed = view.upstreams[request.pool].orEmpty()
-        return EngineChoices(candidates, listed.filter { isSoundSource(it, fleet) }, listed)
-    }
-
     private fun mayBear(upstream: KnownUpstream, view: DirectoryView): Boolean {
         if (!upstream.isCold(inputs.nowMillis())) return true
         val coldStart =
@@ -86,8 +76,8 @@
     }
 
     /** Engines that are leaving still hand out what they hold. */
-    private fun isSoundSource(upstream: KnownUpstream, fleet: FleetLoad): Boolean =
-        !isSilent(upstream, fleet) && !activity.isSuspect(upstream.id)
+    private fun soundSources(request: PlacementRequest, view: DirectoryView, fleet: FleetLoad): List<KnownUpstream> =
+        view.upstreams[request.pool].orEmpty().filterNot { isSilent(it, fleet) || activity.isSuspect(it.id) }
 
     private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream =
         candidates.shuffled(inputs.random).minBy { upstream ->
