Say what a router printed when it ends before it is ready

Cause: a process that ended at its start was waited for until the time limit, and the failure did not show its output.

Change: the wait of the process tests fails at once with that output.

--- a/src/test/kotlin/org/primrosesill/process/ProcessSite.kt
+++ b/src/test/kotlin/org/primrosesill/process/ProcessSite.kt
@@ -47,6 +47,9 @@
 internal class SiteProcess(private val arguments: List<String>, private val output: File) {
     private var process: Process = start()
 
+    /** What it wrote so far. */
+    val text: String get() = output.readText()
+
     private fun start(): Process =
         ProcessBuilder(javaCommand + arguments)
             .redirectErrorStream(true)
@@ -197,6 +200,8 @@
     /** Waits until every router of [waitFor] is ready and hears [members] routers. */
     fun awaitReady(waitFor: List<SiteRouter> = routers, members: Int = routers.size) =
         eventually("routers ready") {
+            val ended = waitFor.filterNot { it.process.isAlive }
+            check(ended.isEmpty()) { "ended before they were ready: ${ended.map { it.process.text }}" }
             waitFor.all { router -> status(router)?.let { it.ready && it.members.size >= members } == true }
         }
 
