--- a/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -81,7 +81,7 @@
         var events = 0
         while (true) {
             when (val part = nextPart(job, answer.body, events)) {
-                is BodyPart.Bytes ->
+                is BodyPart.Bytes -> {
                     for (event in parser.feed(part.bytes)) {
                         if (events++ == 0) promptWasRead()
                         if (!caller.started) dependencies.metrics.answered(job.pool, job.request.arrivedAt.elapsedNow())
@@ -89,6 +89,9 @@
                         event.id?.let { job.lastEventId = it }
                         caller.write(event.bytes)
                     }
+                    // The caller waits for the first event; later ones may arrive in small groups.
+                    if (events > 0) answer.body.gather()
+                }
                 is BodyPart.Cut -> {
                     dependencies.activity.failed(upstream.id)
                     return broken(job, caller, part.reason)
--- a/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
@@ -60,6 +60,9 @@
 /** The body of an answer, read once and in order. */
 public fun interface UpstreamBody {
     public suspend fun next(): BodyPart
+
+    /** Allows further parts to wait for a moment until they are handed on together. */
+    public fun gather(): Unit = Unit
 }
 
 /**
--- a/src/main/kotlin/org/primrosesill/transport/CallerConnections.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnections.kt
@@ -5,6 +5,7 @@
 
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.flush.FlushConsolidationHandler
 import org.primrosesill.forwarding.RequestHandler
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -27,6 +28,8 @@
         open += connection
         channel.closeFuture().addListener { open -= connection }
         channel.pipeline().addLast(
+            // Events that are handed on in one turn of the thread leave in one write.
+            FlushConsolidationHandler(FLUSHES_AT_ONCE, true),
             StrictRequestDecoder(limits().maximumHeaderBytes),
             HttpResponseEncoder(),
             connection,
@@ -40,4 +43,8 @@
     fun closeIdle() = loop.eventLoop.execute { open.filter { it.isIdle }.forEach { it.close() } }
 
     fun closeAll() = loop.eventLoop.execute { open.toList().forEach { it.close() } }
+
+    private companion object {
+        const val FLUSHES_AT_ONCE = 64
+    }
 }
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -29,6 +29,7 @@
 import java.net.ConnectException
 import kotlin.coroutines.resume
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -37,11 +38,13 @@
  * @property connectTimeout time for a connection to come about
  * @property acceptsUnframed whether an answer without length and chunks is whole when its connection ends in order
  * @property maximumIdleConnections idle connections that are kept for one address
+ * @property gatheringInterval time between the reads of bodies whose parts may wait
  */
 public data class UpstreamClientSettings(
     val connectTimeout: Duration = 1.seconds,
     val acceptsUnframed: Boolean = false,
     val maximumIdleConnections: Int = 8,
+    val gatheringInterval: Duration = 50.milliseconds,
 )
 
 /** Connections that the client opened so far, for the metrics. */
@@ -62,6 +65,7 @@
     private val counter: ConnectionCounter,
 ) : UpstreamClient {
     private val idle = IdleConnections(settings.maximumIdleConnections)
+    private val gatheredReads = GatheredReads(loop.eventLoop, settings.gatheringInterval)
 
     private val bootstrap =
         Bootstrap()
@@ -124,7 +128,7 @@
                 if (!continuation.isActive) {
                     future.channel().close()
                 } else if (future.isSuccess) {
-                    continuation.resume(Opened.Connection(UpstreamConnection(future.channel())))
+                    continuation.resume(Opened.Connection(UpstreamConnection(future.channel(), gatheredReads)))
                 } else {
                     continuation.resume(Opened.Failed(future.cause().toString(), isRefusal(future.cause())))
                 }
@@ -182,6 +186,8 @@
             is Inbound.End -> end(part)
         }
 
+    override fun gather() = connection.gather()
+
     private fun end(part: Inbound.End): BodyPart {
         ended = part.framed
         return if (part.framed || acceptsUnframed) {
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -46,10 +46,13 @@
 }
 
 /** Owned by the traffic thread. */
-internal class UpstreamConnection(val channel: Channel) : ChannelInboundHandlerAdapter() {
+internal class UpstreamConnection(val channel: Channel, private val gatheredReads: GatheredReads) :
+    ChannelInboundHandlerAdapter(),
+    GatheredConnection {
     private val decoder = AnswerDecoder()
     private val parts = PartChannel<Inbound>(PartChannel.UNLIMITED)
     private var queuedBytes = 0
+    private var gathered = false
     private var busy = false
     private var response: HttpResponse? = null
     private var framed = true
@@ -91,16 +94,33 @@
         val part = parts.receive()
         if (part is Inbound.Body) {
             queuedBytes -= part.bytes.size
-            if (queuedBytes < MAXIMUM_QUEUED_BYTES / 2 &&
-                !channel.config().isAutoRead
-            ) {
-                channel.config().isAutoRead = true
-            }
+            val waits = !gathered && !channel.config().isAutoRead
+            if (waits && queuedBytes < MAXIMUM_QUEUED_BYTES / 2) channel.config().isAutoRead = true
         }
         return part
     }
 
+    /** Lets the rest of the answer be read together with those of other connections. */
+    fun gather() {
+        if (!busy || gathered) return
+        gathered = true
+        channel.config().isAutoRead = false
+        gatheredReads.add(this)
+    }
+
+    override fun read() {
+        if (queuedBytes <= MAXIMUM_QUEUED_BYTES) channel.read()
+    }
+
+    private fun stopGathering() {
+        if (!gathered) return
+        gathered = false
+        gatheredReads.remove(this)
+        channel.config().isAutoRead = true
+    }
+
     fun close() {
+        stopGathering()
         channel.close()
     }
 
@@ -146,7 +166,7 @@
             val bytes = content.toBytes()
             queuedBytes += bytes.size
             parts.trySend(Inbound.Body(bytes))
-            if (queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
+            if (!gathered && queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
         }
         if (message is LastHttpContent) end()
     }
@@ -158,12 +178,14 @@
         if (reason != null && !framed) return broken(reason)
         if (foreign) return if (framed) Unit else broken("an answer to another request came")
         busy = false
+        stopGathering()
         parts.trySend(Inbound.End(framed))
     }
 
     private fun broken(reason: String) {
         busy = false
         tainted = true
+        stopGathering()
         parts.trySend(Inbound.Broken(reason))
         channel.close()
     }
