Read streams at the common ticks only

Cause: a read that was due at a tick and found nothing stayed armed, so that the next event of its stream woke the gateway by itself.

Change: a tick looks at all sockets once and then stops reading until the next one.

--- a/src/main/kotlin/org/primrosesill/transport/GatheredReads.kt
+++ b/src/main/kotlin/org/primrosesill/transport/GatheredReads.kt
@@ -13,8 +13,8 @@
 
 /** A connection whose arriving bytes can wait for the next common read. */
 internal interface GatheredConnection {
-    /** Reads once what has arrived. */
-    fun read()
+    /** Whether arriving bytes are read at once. */
+    var reads: Boolean
 }
 
 /** Owned by the thread of [eventLoop]. */
@@ -39,6 +39,17 @@
         }
     }
 
-    /** A read can end the answer, which removes its connection. */
-    private fun readAll() = connections.toList().forEach { it.read() }
+    /**
+     * Reads what has arrived and nothing that comes later. The second task runs after the event loop has looked at all
+     * sockets once.
+     */
+    private fun readAll() {
+        val readable = connections.toList()
+        readable.forEach { it.reads = true }
+        eventLoop.schedule(
+            { readable.filter { it in connections }.forEach { it.reads = false } },
+            0,
+            TimeUnit.NANOSECONDS,
+        )
+    }
 }
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -104,13 +104,15 @@
     fun gather() {
         if (!busy || gathered) return
         gathered = true
-        channel.config().isAutoRead = false
+        reads = false
         gatheredReads.add(this)
     }
 
-    override fun read() {
-        if (queuedBytes <= MAXIMUM_QUEUED_BYTES) channel.read()
-    }
+    override var reads: Boolean
+        get() = channel.config().isAutoRead
+        set(value) {
+            channel.config().isAutoRead = value && queuedBytes <= MAXIMUM_QUEUED_BYTES
+        }
 
     private fun stopGathering() {
         if (!gathered) return
