Harm the connections of the soak by a proxy, and keep callers' connections

Cause: the soak knew faults of processes, upstreams and the store, and no fault of a connection; its callers opened a connection for each request.

Change: each way from a gateway to the store or an upstream runs through a proxy on loopback that delays, resets, silences for good or holds the bytes of one direction. Half of the callers stay with their connection until the gateway is gone, also while it stops; a request of theirs may meet the close of a stopping gateway, but only if it does not run.

Not in it: datagrams between gateways, clocks.

--- a/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
+++ b/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
@@ -26,8 +26,12 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** What a caller got. A status of 0 stands for a connection that ended without an answer. */
-data class CallerAnswer(val status: Int, val body: String, val whole: Boolean)
+/**
+ * What a caller got. A status of 0 stands for a connection that ended without an answer.
+ *
+ * @property sent whether a connection came about
+ */
+data class CallerAnswer(val status: Int, val body: String, val whole: Boolean, val sent: Boolean = true)
 
 /** An address on loopback that was free a moment ago. */
 internal fun freeAddress(): String = "127.0.0.1:${ServerSocket(0).use { it.localPort }}"
@@ -42,14 +46,18 @@
     val body: String? = null,
 )
 
-/** Sends requests as callers do, each on a connection of its own. */
+/** Sends requests as callers do, each on a connection of its own or on one that was used before. */
 class TestCaller(loop: TrafficLoop) {
     private val client = nettyUpstreamClient(loop)
 
     suspend fun get(address: String, target: String): CallerAnswer =
-        exchange(address, "GET", target, HeaderFields(), null)
+        exchange(address, "GET", target, HeaderFields(), null, ConnectionUse.Single)
 
-    suspend fun call(address: String, request: CallerRequest): CallerAnswer {
+    suspend fun call(
+        address: String,
+        request: CallerRequest,
+        connection: ConnectionUse = ConnectionUse.Single,
+    ): CallerAnswer {
         val fields =
             headerFieldsOf(
                 "Authorization" to "Bearer ${request.key}",
@@ -58,7 +66,7 @@
                 "X-Token-Usage" to "30,10",
                 "X-Prefix-Hash" to "a1:10,b2:20",
             )
-        return exchange(address, request.method, request.target, fields, request.body?.toByteArray())
+        return exchange(address, request.method, request.target, fields, request.body?.toByteArray(), connection)
     }
 
     private suspend fun exchange(
@@ -67,6 +75,7 @@
         target: String,
         fields: HeaderFields,
         body: ByteArray?,
+        connection: ConnectionUse,
     ): CallerAnswer {
         val call =
             UpstreamCall(
@@ -79,7 +88,7 @@
                 body = body,
                 timeout = 5.seconds,
                 host = "h.example",
-                connection = ConnectionUse.Fresh,
+                connection = connection,
             )
         val result =
             client.exchange(call) { answer ->
@@ -91,7 +100,8 @@
                 }
                 CallerAnswer(answer.status, text.toString(), last == BodyPart.End)
             }
-        return (result as? ExchangeResult.Answered)?.value ?: CallerAnswer(0, "$result", whole = false)
+        val sent = result !is ExchangeResult.NotSent
+        return (result as? ExchangeResult.Answered)?.value ?: CallerAnswer(0, "$result", whole = false, sent)
     }
 }
 
--- a/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
@@ -153,8 +153,18 @@
     }
 }
 
-/** A store with one pool of engines and one of desks, and their upstreams, on loopback. */
-class SiteStandIn(val loop: TrafficLoop, private val engines: Int, private val desks: Int, zones: List<String>) {
+/**
+ * A store with one pool of engines and one of desks, and their upstreams, on loopback.
+ *
+ * @param publishedAddress the address at which others reach a port of this site
+ */
+class SiteStandIn(
+    val loop: TrafficLoop,
+    private val engines: Int,
+    private val desks: Int,
+    zones: List<String>,
+    private val publishedAddress: (Int) -> String = { "127.0.0.1:$it" },
+) {
     val store = StoreStandIn(loop)
     val upstreams =
         List(engines) { UpstreamStandIn("engine-$it", events = 10) } +
@@ -165,10 +175,10 @@
         private set
 
     suspend fun start(storeAt: String = "127.0.0.1:0") {
-        storeAddress = "127.0.0.1:${store.listen(storeAt).port}"
+        storeAddress = publishedAddress(store.listen(storeAt).port)
         for (upstream in upstreams) {
-            addresses[upstream.id] =
-                "127.0.0.1:${startHttpListener(loop, "127.0.0.1:0", ::ListenerLimits, upstream).port}"
+            val port = startHttpListener(loop, "127.0.0.1:0", ::ListenerLimits, upstream).port
+            addresses[upstream.id] = publishedAddress(port)
             register(upstream.id)
         }
         configure(version = 1)
--- a/src/test/kotlin/org/primrosesill/soak/GatewaySoakTest.kt
+++ b/src/test/kotlin/org/primrosesill/soak/GatewaySoakTest.kt
@@ -15,12 +15,14 @@
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.platform.CallerAnswer
 import org.primrosesill.platform.CallerRequest
+import org.primrosesill.request.ConnectionUse
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 private const val GATEWAYS = 4
@@ -37,6 +39,7 @@
     val endedMillis: Long,
     val answer: CallerAnswer,
     val gatewayWasCutOff: Boolean,
+    val keptConnection: Boolean,
 )
 
 class GatewaySoakTest {
@@ -60,14 +63,17 @@
             val start = TimeSource.Monotonic.markNow()
             val nowMillis = { start.elapsedNow().inWholeMilliseconds }
             val faults =
-                planSoak(seed, seconds, GATEWAYS, site.upstreams.size).map { planned ->
+                planSoak(seed, seconds, GATEWAYS, site.upstreams.size, site.linkCount).map { planned ->
                     launch {
                         delay(planned.atMillis - nowMillis())
                         site.strike(planned)
                     }
                 }
             val callers =
-                List(CALLERS) { number -> launch { callOften(site, Random(seed + number), number, sent, nowMillis) } }
+                List(CALLERS) { number ->
+                    val use = if (number % 2 == 0) ConnectionUse.Single else ConnectionUse.Kept(KEPT_FOR)
+                    launch { callOften(site, Random(seed + number), number, use, sent, nowMillis) }
+                }
             delay(seconds * 1_000L - nowMillis())
             faults.forEach { it.join() }
             callers.forEach { it.cancel() }
@@ -84,17 +90,30 @@
         site: SoakSite,
         random: Random,
         number: Int,
+        connection: ConnectionUse,
         sent: ConcurrentLinkedQueue<Sent>,
         nowMillis: () -> Long,
     ) = withContext(Dispatchers.Default) {
         var count = 0
+        var last: SoakGateway? = null
         while (isActive) {
-            val gateway = site.gateways.filter { it.inRotation }.randomOrNull(random)
+            // A connection that is kept is used until its gateway is gone, also while the gateway is stopping.
+            val gateway = last ?: site.gateways.filter { it.inRotation }.randomOrNull(random)
             if (gateway != null) {
                 val request = draw(random, "$number-${count++}")
                 val started = nowMillis()
-                val answer = site.caller.call(gateway.callers, request)
-                sent += Sent(request, gateway, started, nowMillis(), answer, gateway.cutOff)
+                val answer = site.caller.call(gateway.callers, request, connection)
+                sent +=
+                    Sent(
+                        request,
+                        gateway,
+                        started,
+                        nowMillis(),
+                        answer,
+                        gateway.cutOff,
+                        connection is ConnectionUse.Kept,
+                    )
+                last = gateway.takeIf { answer.status != 0 && connection is ConnectionUse.Kept }
             }
             delay(random.nextLong(5, 40))
         }
@@ -122,14 +141,19 @@
                 "$id was refused with ${one.answer.status} and ran".takeIf { ran > 0 && one.answer.status in NOT_RUN },
                 "$id got a stream that is not its own: ${one.answer.body}".takeIf { isWrongStream(one) },
                 "$id got ${one.answer.body}".takeIf { isWrongAnswer(one) },
-                "$id had no answer from ${one.gateway.callers}, ${one.startedMillis} to ${one.endedMillis} ms: "
-                    .plus(
-                        one.answer.body,
-                    ).takeIf { one.answer.status == 0 && !one.gatewayWasCutOff },
+                "$id had no answer from ${one.gateway.callers}, ${one.startedMillis} to ${one.endedMillis} ms, $ran runs: "
+                    .plus(one.answer.body)
+                    .takeIf { hasNoAnswer(one, ran) },
             )
         }
     }
 
+    /** On a kept connection a request can meet the close of a gateway that stops, as long as it does not run. */
+    private fun hasNoAnswer(one: Sent, ran: Int): Boolean {
+        val lost = one.answer.status == 0 && !one.gatewayWasCutOff
+        return lost && (!one.keptConnection || ran > 0)
+    }
+
     private fun isWrongStream(one: Sent): Boolean {
         val isStream = one.request.id.first() in "sl"
         if (!isStream || one.answer.status != 200) return false
@@ -146,6 +170,9 @@
         /** Statuses that promise that a request did not run. */
         val NOT_RUN = setOf(429, 503)
 
+        /** Shorter than gateways keep idle connections of callers open. */
+        val KEPT_FOR = 5.seconds
+
         const val LEAST_SERVED_A_SECOND = 20
     }
 }
--- a/src/test/kotlin/org/primrosesill/soak/SoakPlan.kt
+++ b/src/test/kotlin/org/primrosesill/soak/SoakPlan.kt
@@ -27,6 +27,9 @@
 
     data class Upstream(val upstream: Int, val mode: UpstreamMode) : Fault
 
+    /** The connections to one upstream, or to the store, are harmed. */
+    data class Link(val number: Int, val mode: LinkMode) : Fault
+
     /** An upstream says that it is leaving, and is ready again at the end. */
     data class Leaving(val upstream: Int) : Fault
 
@@ -35,19 +38,19 @@
 }
 
 /** Returns the faults of one soak over [seconds], in order. */
-internal fun planSoak(seed: Long, seconds: Int, gateways: Int, upstreams: Int): List<PlannedFault> {
+internal fun planSoak(seed: Long, seconds: Int, gateways: Int, upstreams: Int, links: Int): List<PlannedFault> {
     val random = Random(seed)
     val end = seconds * 1_000L - QUIET_END_MILLIS
     return generateSequence(FIRST_FAULT_MILLIS) { it + random.nextLong(MINIMUM_GAP_MILLIS, MAXIMUM_GAP_MILLIS) }
         .takeWhile { it < end }
-        .map { PlannedFault(it, random.nextLong(300, 2_500), drawFault(random, gateways, upstreams)) }
+        .map { PlannedFault(it, random.nextLong(300, 2_500), drawFault(random, gateways, upstreams, links)) }
         .toList()
 }
 
-private fun drawFault(random: Random, gateways: Int, upstreams: Int): Fault {
+private fun drawFault(random: Random, gateways: Int, upstreams: Int, links: Int): Fault {
     val gateway = random.nextInt(gateways)
     val upstream = random.nextInt(upstreams)
-    return when (random.nextInt(10)) {
+    return when (random.nextInt(13)) {
         0, 1 -> Fault.PlannedStop(gateway)
         2 -> Fault.Kill(gateway)
         3 -> Fault.Pause(gateway)
@@ -55,10 +58,12 @@
         5 -> Fault.Store(if (random.nextBoolean()) StoreMode.BUSY else StoreMode.SILENT)
         6, 7 -> Fault.Upstream(upstream, failingModes[random.nextInt(failingModes.size)])
         8 -> Fault.Leaving(upstream)
+        9, 10, 11 -> Fault.Link(random.nextInt(links), harmfulModes[random.nextInt(harmfulModes.size)])
         else -> Fault.NewConfiguration
     }
 }
 
+private val harmfulModes = LinkMode.entries - LinkMode.GOOD
 private val failingModes = UpstreamMode.entries - UpstreamMode.GOOD
 private const val FIRST_FAULT_MILLIS = 500L
 private const val MINIMUM_GAP_MILLIS = 200L
--- a/src/test/kotlin/org/primrosesill/soak/SoakSite.kt
+++ b/src/test/kotlin/org/primrosesill/soak/SoakSite.kt
@@ -33,13 +33,20 @@
 internal class SoakSite(private val gatewayCount: Int) : AutoCloseable {
     val directory: Path = Files.createTempDirectory("primrosesill-soak")
     private val loop = TrafficLoop(throwFaults)
-    private val site = SiteStandIn(loop, engines = 3, desks = 3, zones = listOf("a", "b"))
+    private val links = mutableListOf<FaultyProxy>()
+    private val site =
+        SiteStandIn(loop, engines = 3, desks = 3, zones = listOf("a", "b")) { port ->
+            FaultyProxy(port).also(links::add).address
+        }
     val caller = TestCaller(loop)
     val gateways = mutableListOf<SoakGateway>()
     private var configurationVersion = 1
 
     val upstreams get() = site.upstreams
 
+    /** Ways to the store and to each upstream. */
+    val linkCount get() = links.size
+
     suspend fun start() {
         site.start()
         val peers = mutableListOf<String>()
@@ -89,6 +96,11 @@
                 delay(planned.forMillis)
                 upstreams[fault.upstream].mode = UpstreamMode.GOOD
             }
+            is Fault.Link -> {
+                links[fault.number].mode = fault.mode
+                delay(planned.forMillis)
+                links[fault.number].mode = LinkMode.GOOD
+            }
             is Fault.Leaving -> {
                 site.register(upstreams[fault.upstream].id, state = "draining")
                 delay(planned.forMillis)
@@ -142,6 +154,7 @@
 
     override fun close() {
         gateways.forEach { it.process.kill() }
+        links.forEach { it.close() }
         loop.close()
     }
 
