--- a/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
@@ -62,8 +62,12 @@
 private const val ANNOUNCED_NEAR = 3
 private const val ANNOUNCED_FAR = 2
 
-/** Returns a gateway of each zone but that of [self]. */
-public fun oneOfEachOtherZone(self: Member, live: List<Member>, random: Random): List<Member> =
+/** Returns whom [self] tells at once that an upstream has fallen silent: its zone, and a gateway of each other one. */
+public fun planAlarm(self: Member, live: List<Member>, random: Random): List<Member> =
+    live.filter { it.router != self.router && it.availabilityZone == self.availabilityZone } +
+        oneOfEachOtherZone(self, live, random)
+
+private fun oneOfEachOtherZone(self: Member, live: List<Member>, random: Random): List<Member> =
     live
         .filter { it.availabilityZone != self.availabilityZone }
         .groupBy { it.availabilityZone }
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -11,7 +11,7 @@
 import org.primrosesill.exchange.SHORT_CODE_LENGTH
 import org.primrosesill.exchange.SMALL_FLEET
 import org.primrosesill.exchange.heartbeatDigest
-import org.primrosesill.exchange.oneOfEachOtherZone
+import org.primrosesill.exchange.planAlarm
 import org.primrosesill.exchange.planAnnouncement
 import org.primrosesill.exchange.planGossip
 import org.primrosesill.exchange.planProbes
@@ -79,17 +79,11 @@
     fun sourceOf(peer: Member): NewsSource =
         if (peer.availabilityZone == members.self().availabilityZone) NewsSource.OWN_ZONE else NewsSource.OTHER_ZONE
 
-    /** Returns what tells the own zone, and a gateway of each other one, that upstreams have fallen silent. */
+    /** Returns what tells others that upstreams have fallen silent. */
     fun silenceRound(): FleetRound {
-        val told = planAnnouncement(members.self(), members.live(), NewsSource.OTHER_ZONE, random)
-        val message = news.addTo(ExchangeMessage(round, parts = emptyList(), sender = members.self().router))
-        return FleetRound(
-            (told + oneOfEachOtherZone(members.self(), members.live(), random))
-                .map {
-                    it.address
-                }.distinct(),
-            message,
-        )
+        val told = planAlarm(members.self(), members.live(), random)
+        val message = ExchangeMessage(round, parts = emptyList(), sender = members.self().router)
+        return FleetRound(told.map { it.address }, news.addTo(message))
     }
 
     /** Returns what tells all gateways of a small fleet what this one has in progress, or null in a large one. */
--- a/src/test/kotlin/org/primrosesill/exchange/GossipTest.kt
+++ b/src/test/kotlin/org/primrosesill/exchange/GossipTest.kt
@@ -101,6 +101,20 @@
             }
         }
 
+    // Guards against an alarm that stays in one zone, or costs a gateway more than its zone and one of each other.
+    @TestFactory
+    fun `an alarm goes to the own zone and one gateway of each other zone`(): List<DynamicTest> =
+        listOf(6, 69).map { size ->
+            dynamicTest("$size gateways") {
+                val live = fleet(size)
+                val told = planAlarm(live[0], live, Random(1))
+                val near = live.filter { it.availabilityZone == live[0].availabilityZone } - live[0]
+                expectThat(told.containsAll(near)).isEqualTo(true)
+                expectThat((told - near.toSet()).map { it.availabilityZone.value }.toSet()).isEqualTo(setOf("z1", "z2"))
+                expectThat(told.size).isEqualTo(near.size + 2)
+            }
+        }
+
     // Guards against news that stays in a part of a zone whose reader is stopping.
     @Test
     fun `a gateway that hears from another zone tells its own zone`() {
