Fetch large changes from the gateway that told of them

Change: announcements that do not carry their changes are passed on by each gateway that hears, to three of its zone and two of each other one, as in a small fleet, and the changes are fetched from the one that told. The table of what peers said of their revisions goes, since nobody reads it.

Test: GossipTest, at most 7 gateways fetch from the same one.

--- a/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
@@ -36,13 +36,20 @@
 public enum class NewsSource { PLATFORM, OWN_ZONE, OTHER_ZONE }
 
 /**
- * Returns whom [self] tells at once of news that it has from [source]. In a small fleet each gateway that hears passes it on
- * to some of each zone. In a large one the gateway that brings news into its zone tells all of it, and nobody repeats it:
- * each zone has a reader of its own, and what a datagram loses comes with the next rounds.
+ * Returns whom [self] tells at once of news that it has from [source]. In a large fleet, the gateway that brings news into
+ * its zone tells all of it if the message [carriesChanges], and nobody repeats it: each zone has a reader of its own, and
+ * what a datagram loses comes with the next rounds. Otherwise each gateway that hears passes it on to some of each zone, so
+ * that changes that have to be fetched are fetched from many.
  */
-public fun planAnnouncement(self: Member, live: List<Member>, source: NewsSource, random: Random): List<Member> {
+public fun planAnnouncement(
+    self: Member,
+    live: List<Member>,
+    source: NewsSource,
+    carriesChanges: Boolean,
+    random: Random,
+): List<Member> {
     val others = live.filter { it.router != self.router }
-    if (live.size > SMALL_FLEET) {
+    if (live.size > SMALL_FLEET && carriesChanges) {
         return if (source ==
             NewsSource.OWN_ZONE
         ) {
@@ -58,7 +65,7 @@
         }
 }
 
-/** Each gateway of a small fleet that hears passes it on, so that few are missed. */
+/** Each gateway that hears passes it on, so that few are missed. */
 private const val ANNOUNCED_NEAR = 3
 private const val ANNOUNCED_FAR = 2
 
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -59,19 +59,20 @@
         if (gathering) return
         scope.launch {
             delay(GATHERING)
-            val announcement = fleet.announcement(keeper, gatheredFrom ?: source)
-            gatheredFrom = null
             val since = announcedRevision
             announcedRevision = keeper.revision
-            send(announcement.addresses, announcement.message.withChanges(since))
+            val changes = changesToTell(since)
+            val announcement = fleet.announcement(keeper, gatheredFrom ?: source, carriesChanges = changes != null)
+            gatheredFrom = null
+            send(announcement.addresses, announcement.message.copy(changes = changes, changesSince = since))
         }
     }
 
-    /** Adds the changes after [since] if they are few, so that nobody has to ask for them. */
-    private fun ExchangeMessage.withChanges(since: Long): ExchangeMessage {
+    /** Returns the changes after [since] if a datagram holds them, so that nobody has to ask for them. */
+    private fun changesToTell(since: Long): RelayedItems? {
         val changes = itemsAfter(since)
         val size = changes.items.sumOf { it.key.length + (it.value?.length ?: 0) }
-        return if (size > MAXIMUM_CHANGES_LENGTH) this else copy(changes = changes, changesSince = since)
+        return changes.takeIf { size <= MAXIMUM_CHANGES_LENGTH }
     }
 
     /** Records which upstreams have fallen silent, and tells others at once of those that this gateway found itself. */
@@ -127,12 +128,12 @@
         delay(patience())
         val since = keeper.revision
         if (sender.configurationRevision > since) {
-            (fleet.ahead(since) ?: sender.member).let { peer ->
-                client.items(peer.address, since).fold(
-                    { events.record(EventType.PEER_FAILED, "changes after revision $since: $it") },
-                    { takeItems(peer, since, it) },
-                )
-            }
+            // The one that told is asked, so that the fleet does not ask the same gateway.
+            val peer = sender.member
+            client.items(peer.address, since).fold(
+                { events.record(EventType.PEER_FAILED, "changes after revision $since: $it") },
+                { takeItems(peer, since, it) },
+            )
         }
         catchingUp = false
     }
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -7,7 +7,6 @@
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
 import org.primrosesill.exchange.NewsSource
-import org.primrosesill.exchange.PartTable
 import org.primrosesill.exchange.SHORT_CODE_LENGTH
 import org.primrosesill.exchange.SMALL_FLEET
 import org.primrosesill.exchange.heartbeatDigest
@@ -44,7 +43,6 @@
     private val random: Random,
 ) {
     private val members = MemberTable(self, seeds, expectsVmList = false, MEMBER_SETTINGS)
-    private val parts = PartTable(self.router, PART_EXPIRY_MILLIS)
     private val memory = FleetMemory(self.availabilityZone)
     private val acquaintance = Acquaintance(startedAtMillis)
     private val wanted = LinkedHashSet<String>()
@@ -68,8 +66,8 @@
     fun message(keeper: DirectoryKeeper): ExchangeMessage = message(keeper, emptyList())
 
     /** Returns what tells other gateways that this one has news of the platform's items from [source]. */
-    fun announcement(keeper: DirectoryKeeper, source: NewsSource): FleetRound {
-        val told = planAnnouncement(members.self(), members.live(), source, random)
+    fun announcement(keeper: DirectoryKeeper, source: NewsSource, carriesChanges: Boolean): FleetRound {
+        val told = planAnnouncement(members.self(), members.live(), source, carriesChanges, random)
         val part = RouterPart(members.self(), keeper.revision)
         val age = keeper.ageMillis ?: -1
         return FleetRound(told.map { it.address }, ExchangeMessage(round, listOf(part), platformAgeMillis = age))
@@ -102,7 +100,6 @@
     fun take(message: ExchangeMessage, nowMillis: Long) {
         for (part in message.parts) {
             observe(part.member, nowMillis)
-            parts.merge(part, nowMillis)
             wanted -= shortCode(part.member.router.value)
         }
         val digest = readHeartbeatDigest(message.members, members.live())
@@ -137,18 +134,6 @@
         return FleetView(FleetMembers(members.self().router, others, acquaintance.isSettled), load)
     }
 
-    /** Returns a gateway that knows more of the platform's items than [revision], or null. */
-    fun ahead(revision: Long): Member? =
-        parts
-            .parts()
-            .filter { it.configurationRevision > revision }
-            .maxWithOrNull(
-                compareBy(
-                    { it.configurationRevision },
-                    { it.member.availabilityZone == members.self().availabilityZone },
-                ),
-            )?.member
-
     fun self(): Member = members.self()
 
     /** The other gateways that are alive, in no order. */
@@ -183,14 +168,12 @@
                 is MemberChange.Joined -> events.record(EventType.MEMBER_JOINED, "heard", subject)
                 is MemberChange.Leaving -> events.record(EventType.MEMBER_LEAVING, "says that it is stopping", subject)
                 is MemberChange.Lost -> {
-                    parts.remove(change.member.router)
                     events.record(EventType.MEMBER_LOST, change.cause, subject)
                 }
             }
         }
 
     private companion object {
-        const val PART_EXPIRY_MILLIS = 1_500L
         const val MAXIMUM_WANTED = 20
 
         /** In a large fleet a heartbeat takes some rounds to get around. */
--- a/src/test/kotlin/org/primrosesill/exchange/GossipTest.kt
+++ b/src/test/kotlin/org/primrosesill/exchange/GossipTest.kt
@@ -13,6 +13,7 @@
 import org.primrosesill.model.RouterId
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
 
@@ -70,23 +71,32 @@
             }
         }
 
-    private class Told(val informed: Set<Member>, val datagrams: Int)
+    /** @property mostFetches how many gateways ask the same one for the changes, at the most */
+    private class Told(val informed: Set<Member>, val datagrams: Int, val mostFetches: Int)
 
     /** Passes news on from the [readers], which have it from the platform, until nobody tells anybody new. */
-    private fun tellFrom(readers: List<Member>, live: List<Member>, random: Random): Told {
+    private fun tellFrom(
+        readers: List<Member>,
+        live: List<Member>,
+        random: Random,
+        carriesChanges: Boolean = true,
+    ): Told {
         val informed = readers.toMutableSet()
         val waiting = ArrayDeque(readers.map { it to NewsSource.PLATFORM })
         var datagrams = 0
+        var mostFetches = 0
         while (waiting.isNotEmpty()) {
             val (self, source) = waiting.removeFirst()
-            val told = planAnnouncement(self, live, source, random)
+            val told = planAnnouncement(self, live, source, carriesChanges, random)
             datagrams += told.size
-            for (peer in told.filter(informed::add)) {
+            val new = told.filter(informed::add)
+            mostFetches = maxOf(mostFetches, new.size)
+            for (peer in new) {
                 val own = peer.availabilityZone == self.availabilityZone
                 waiting += peer to if (own) NewsSource.OWN_ZONE else NewsSource.OTHER_ZONE
             }
         }
-        return Told(informed, datagrams)
+        return Told(informed, datagrams, mostFetches)
     }
 
     // Guards against a change of the platform that costs each gateway of a large fleet many datagrams.
@@ -101,6 +111,19 @@
             }
         }
 
+    // Guards against a large configuration that all gateways of a zone fetch from its reader at once: seen in a storm of
+    // configurations with 84 gateways, some of which had a version 3 s late.
+    @TestFactory
+    fun `large changes are fetched from many gateways`(): List<DynamicTest> =
+        listOf(13, 69, 84, 328).map { size ->
+            dynamicTest("$size gateways") {
+                val live = fleet(size)
+                val told = tellFrom(live.take(3), live, Random(1), carriesChanges = false)
+                expectThat(told.informed.size * 100).isGreaterThan(size * 95)
+                expectThat(told.mostFetches).isLessThanOrEqualTo(7)
+            }
+        }
+
     // Guards against an alarm that stays in one zone, or costs a gateway more than its zone and one of each other.
     @TestFactory
     fun `an alarm goes to the own zone and one gateway of each other zone`(): List<DynamicTest> =
@@ -119,7 +142,7 @@
     @Test
     fun `a gateway that hears from another zone tells its own zone`() {
         val live = fleet(69)
-        val told = planAnnouncement(live[1], live, NewsSource.OTHER_ZONE, Random(1))
+        val told = planAnnouncement(live[1], live, NewsSource.OTHER_ZONE, carriesChanges = true, Random(1))
         val zone = live.filter { it.availabilityZone == live[1].availabilityZone }
         expectThat(told.toSet()).isEqualTo(zone.toSet() - live[1])
     }
