--- a/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
@@ -1,8 +1,8 @@
 /*
  * Whom a gateway tells in a round what it knows. In a small fleet all gateways of the zone and one of each other zone; in a
- * large one two near gateways, or every other round a near one and one of another zone, at random. What is passed on reaches all of n gateways
- * in about log n rounds, and the work of each does not grow with the fleet. Bytes between zones cost more, so that they carry
- * less.
+ * large one two near gateways, or every other round a near one and one of another zone, at random. What is passed on reaches
+ * all of n gateways in about log n rounds, and the work of each does not grow with the fleet. Bytes between zones cost more,
+ * so that they carry less.
  *
  * Load pattern: a prompt that many share turns popular, and all gateways send it to the same engine; the sooner they hear of
  * each other's work there, the less they overshoot.
