Bound what an upstream sends before and in an answer, and take events as progress

Cause: an upstream in trouble may send bytes without end. A plain answer was held whole (one read took a heap from 15 to 3,310 MB in 3 s), the parser of event streams kept an endless line, and a connection read interim heads, answers to other requests and control characters until the deadline. A byte now and then restarted the patience for the next event, so that a stalled engine held a stream that could have gone on elsewhere.

Change: a plain answer of more than 256 KB is passed on as it arrives, and a failure of that length is not kept; what comes without an event ends the stream after 256 KB; what comes before the head of an answer ends the connection after 1 MB. The wait for the next event ends with an event only; comments are passed on with the event that follows.

--- a/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -1,17 +1,18 @@
 /*
  * Hands the answer of an upstream to the caller. Plain answers are read to their end first, so that a broken one can still
- * be replaced; streams pass event by event, and only whole events, so that one can go on at another upstream.
+ * be replaced, unless they are long; streams pass event by event, and only whole events, so that one can go on at another
+ * upstream.
  */
 package org.primrosesill.forwarding
 
 import kotlinx.coroutines.withTimeoutOrNull
-import org.primrosesill.answer.EventStreamParser
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.UpstreamAnswer
 import org.primrosesill.request.UpstreamBody
 import org.primrosesill.route.RouteKind
 import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
 
 internal class AnswerRelay(private val dependencies: ForwarderDependencies) {
     private val protocol = dependencies.protocol
@@ -43,9 +44,8 @@
         answer: UpstreamAnswer,
         caller: OutboundAnswer,
     ): AttemptEnd {
-        val buffer = ByteArrayOutputStream()
-        val end =
-            withTimeoutOrNull(job.timeLeft()) { fill(buffer, answer.body) } ?: BodyPart.Cut("the deadline passed")
+        val held = ByteArrayOutputStream()
+        val end = withTimeoutOrNull(job.timeLeft()) { hold(held, answer.body) } ?: TIME_OVER
         if (end is BodyPart.Cut) {
             dependencies.activity.failed(upstream.id)
             return AttemptEnd.Unknown(end.reason)
@@ -53,24 +53,56 @@
         if (answer.status >= 500) dependencies.activity.failedRequest(upstream.id)
         if (caller.started) return AttemptEnd.Unknown("the stream went on with status ${answer.status}")
         if (answer.status >= 500 && job.route.idempotent) {
-            return AttemptEnd.Failed(headOf(answer), buffer.toByteArray())
+            if (end is BodyPart.Bytes) return AttemptEnd.Unknown("status ${answer.status} with a body too long to keep")
+            return AttemptEnd.Failed(headOf(answer), held.toByteArray())
         }
         // These statuses promise that the request did not run, which the upstream does not say.
         if (answer.status in PROMISING_STATUSES) return AttemptEnd.Unknown("status ${answer.status} without a promise")
-        if (answer.status < 500) dependencies.activity.succeeded(upstream.id)
         dependencies.metrics.answered(job.pool, job.request.arrivedAt.elapsedNow())
-        caller.respond(headOf(answer), buffer.toByteArray())
+        if (end is BodyPart.Bytes) return passOn(job, upstream, answer, caller, held.toByteArray())
+        if (answer.status < 500) dependencies.activity.succeeded(upstream.id)
+        caller.respond(headOf(answer), held.toByteArray())
         return AttemptEnd.Delivered(answer.status)
     }
 
-    private suspend fun fill(buffer: ByteArrayOutputStream, body: UpstreamBody): BodyPart {
+    /** Reads [body] into [held], and returns its end, or the last part of what is as much as may be held. */
+    private suspend fun hold(held: ByteArrayOutputStream, body: UpstreamBody): BodyPart {
         while (true) {
             val part = body.next()
             if (part !is BodyPart.Bytes) return part
-            buffer.write(part.bytes)
+            held.write(part.bytes)
+            if (held.size() > MAXIMUM_HELD_BYTES) return part
         }
     }
 
+    /** Passes on an answer that is too long to be held, of which [begun] has arrived, as fast as the caller takes it. */
+    private suspend fun passOn(
+        job: ForwardingJob,
+        upstream: KnownUpstream,
+        answer: UpstreamAnswer,
+        caller: OutboundAnswer,
+        begun: ByteArray,
+    ): AttemptEnd {
+        caller.start(headOf(answer))
+        val end =
+            withTimeoutOrNull(job.timeLeft()) {
+                caller.write(begun)
+                var part = answer.body.next()
+                while (part is BodyPart.Bytes) {
+                    caller.write(part.bytes)
+                    part = answer.body.next()
+                }
+                part
+            } ?: TIME_OVER
+        if (end is BodyPart.Cut) {
+            dependencies.activity.failed(upstream.id)
+            return AttemptEnd.Cut(end.reason)
+        }
+        caller.finish()
+        if (answer.status < 500) dependencies.activity.succeeded(upstream.id)
+        return AttemptEnd.Delivered(answer.status)
+    }
+
     private suspend fun stream(
         job: ForwardingJob,
         upstream: KnownUpstream,
@@ -78,27 +110,28 @@
         caller: OutboundAnswer,
         promptWasRead: () -> Unit,
     ): AttemptEnd {
-        val parser = EventStreamParser()
-        var events = 0
+        val reader = StreamReader(answer.body)
+        var begun = false
         while (true) {
-            when (val part = nextPart(job, answer.body, events)) {
-                is BodyPart.Bytes -> {
+            when (val part = reader.next(patience(job, begun))) {
+                is StreamPart.Events -> {
                     dependencies.activity.heard(upstream.id)
-                    for (event in parser.feed(part.bytes)) {
-                        if (events++ == 0) promptWasRead()
-                        if (!caller.started) dependencies.metrics.answered(job.pool, job.request.arrivedAt.elapsedNow())
-                        if (!caller.started) caller.start(headOf(answer))
+                    if (!begun) promptWasRead()
+                    begun = true
+                    if (!caller.started) dependencies.metrics.answered(job.pool, job.request.arrivedAt.elapsedNow())
+                    if (!caller.started) caller.start(headOf(answer))
+                    for (event in part.events) {
                         event.id?.let { job.lastEventId = it }
                         caller.write(event.bytes)
                     }
                     // The caller waits for the first event; later ones may arrive in small groups.
-                    if (events > 0) answer.body.gather()
+                    answer.body.gather()
                 }
-                is BodyPart.Cut -> {
+                is StreamPart.Broken -> {
                     dependencies.activity.failed(upstream.id)
                     return broken(job, caller, part.reason)
                 }
-                BodyPart.End -> {
+                StreamPart.End -> {
                     if (!caller.started) caller.start(headOf(answer))
                     caller.finish()
                     dependencies.activity.succeeded(upstream.id)
@@ -108,12 +141,10 @@
         }
     }
 
-    /** A stream that may go on elsewhere is not left with an upstream that has fallen silent. */
-    private suspend fun nextPart(job: ForwardingJob, body: UpstreamBody, events: Int): BodyPart {
-        val left = job.timeLeft()
-        val patience = if (events == 0) answerPatience(job.route) else pausePatience(job.route)
-        val wait = if (job.route.idempotent) minOf(left, patience) else left
-        return withTimeoutOrNull(wait) { body.next() } ?: BodyPart.Cut("nothing came for $wait")
+    /** A stream that may go on elsewhere is not left with an upstream that makes no progress. */
+    private fun patience(job: ForwardingJob, begun: Boolean): Duration {
+        if (!job.route.idempotent) return job.timeLeft()
+        return minOf(job.timeLeft(), if (begun) pausePatience(job.route) else answerPatience(job.route))
     }
 
     private fun broken(job: ForwardingJob, caller: OutboundAnswer, reason: String): AttemptEnd =
@@ -124,5 +155,9 @@
 
     private companion object {
         val PROMISING_STATUSES = setOf(408, 421, 429, 503)
+        val TIME_OVER = BodyPart.Cut("the deadline passed")
+
+        /** An answer up to this length can be replaced when it breaks off; the memory of a VM bounds how many are held. */
+        const val MAXIMUM_HELD_BYTES = 256 * 1024
     }
 }
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -45,6 +45,14 @@
         headRequest || super.isContentAlwaysEmpty(message)
 }
 
+/** Tells how many bytes arrive, before they are decoded. */
+private class ByteCounter(private val arrived: (Int) -> Unit) : ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message is ByteBuf) arrived(message.readableBytes())
+        context.fireChannelRead(message)
+    }
+}
+
 /** Owned by the traffic thread. */
 internal class UpstreamConnection(val channel: Channel, private val gatheredReads: GatheredReads) :
     ChannelInboundHandlerAdapter(),
@@ -60,6 +68,10 @@
     private var write: ChannelFuture? = null
     private var isAnswer: (HeaderFields) -> Boolean = { true }
 
+    /** Bytes that arrived while a request waited for its head. */
+    private var bytesBeforeAnswer = 0
+    private var answered = false
+
     /** The answer that is arriving belongs to another request. */
     private var foreign = false
 
@@ -71,7 +83,7 @@
         private set
 
     init {
-        channel.pipeline().addLast(HttpRequestEncoder(), decoder, this)
+        channel.pipeline().addLast(HttpRequestEncoder(), ByteCounter(::bytesArrived), decoder, this)
     }
 
     val isOpen: Boolean get() = channel.isActive && !tainted
@@ -83,6 +95,8 @@
     /** Sends [request]. An answer for whose fields [isAnswer] does not hold is dropped, and the next one is waited for. */
     fun send(request: DefaultFullHttpRequest, isAnswer: (HeaderFields) -> Boolean) {
         busy = true
+        answered = false
+        bytesBeforeAnswer = 0
         this.isAnswer = isAnswer
         uses++
         decoder.headRequest = request.method() == HttpMethod.HEAD
@@ -93,7 +107,7 @@
     suspend fun receive(): Inbound {
         val part = parts.receive()
         if (part is Inbound.Body) {
-            queuedBytes -= part.bytes.size
+            queuedBytes -= part.bytes.size + PART_OVERHEAD_BYTES
             val waits = !gathered && !channel.config().isAutoRead
             if (waits && queuedBytes < MAXIMUM_QUEUED_BYTES / 2) channel.config().isAutoRead = true
         }
@@ -126,6 +140,15 @@
         channel.close()
     }
 
+    /** Interim heads, answers to other requests and bytes that are no answer may come without end. */
+    private fun bytesArrived(count: Int) {
+        if (!busy || answered) return
+        bytesBeforeAnswer += count
+        if (bytesBeforeAnswer > MAXIMUM_BYTES_BEFORE_ANSWER) {
+            broken("$bytesBeforeAnswer bytes came, and no answer to the request")
+        }
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (!busy) {
@@ -156,7 +179,9 @@
             ) || HttpUtil.isContentLengthSet(message) ||
             message.status().code() in BODILESS_STATUSES
         foreign = !isAnswer(message.headers().toHeaderFields())
-        if (!foreign) parts.trySend(Inbound.Head(message))
+        if (foreign) return
+        answered = true
+        parts.trySend(Inbound.Head(message))
     }
 
     private fun takeContent(message: HttpContent) {
@@ -166,7 +191,7 @@
         val content: ByteBuf = message.content()
         if (content.isReadable && !foreign) {
             val bytes = content.toBytes()
-            queuedBytes += bytes.size
+            queuedBytes += bytes.size + PART_OVERHEAD_BYTES
             parts.trySend(Inbound.Body(bytes))
             if (!gathered && queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
         }
@@ -213,6 +238,12 @@
     private companion object {
         /** Bytes of an answer that wait for a slow caller before the upstream is made to wait. */
         const val MAXIMUM_QUEUED_BYTES = 256 * 1024
+
+        /** Memory of a part beside its bytes, which counts when an upstream sends very short ones. */
+        const val PART_OVERHEAD_BYTES = 64
+
+        /** Holds a late second copy of a long answer. */
+        const val MAXIMUM_BYTES_BEFORE_ANSWER = 1024 * 1024
         val BODILESS_STATUSES = setOf(204, 304)
     }
 }
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/transport/EndlessBytesTest.kt
@@ -0,0 +1,94 @@
+/*
+ * Upstreams on bare sockets that send bytes without end, none of which is the answer that the request waits for.
+ */
+package org.primrosesill.transport
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.concurrent.throwFaults
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.UpstreamCall
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isLessThan
+import java.io.IOException
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.seconds
+
+class EndlessBytesTest {
+    private val loop = TrafficLoop(throwFaults)
+    private val client = nettyUpstreamClient(loop)
+
+    @AfterEach
+    fun close() = loop.close()
+
+    private class Case(val name: String, val begin: String, val text: String)
+
+    // Guards against a request that keeps the process busy until its deadline with bytes that it will never use.
+    @TestFactory
+    fun `bytes that are no answer end the connection`(): List<DynamicTest> =
+        listOf(
+            Case("interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n"),
+            Case(
+                "answers to another request",
+                "",
+                "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1000\r\n\r\n$kilobyte",
+            ),
+            Case(
+                "one answer to another request",
+                "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 99999999\r\n\r\n",
+                kilobyte,
+            ),
+            Case("control characters", "", "\u0000".repeat(1_000)),
+            Case("empty lines", "", "\r\n".repeat(500)),
+            Case("garbage", "", kilobyte),
+            Case("a status line", "HTTP/1.1 200 ", kilobyte),
+            Case("a field", "HTTP/1.1 200 OK\r\nX-Id: ", kilobyte),
+            Case("fields", "HTTP/1.1 200 OK\r\n", "X-Field: 1\r\n"),
+        ).map { case ->
+            dynamicTest(case.name) {
+                val sent = AtomicLong()
+                val upstream =
+                    RawUpstream { connection ->
+                        connection.readRequest()
+                        connection.write(case.begin)
+                        try {
+                            while (sent.get() < MAXIMUM_SENT_BYTES) {
+                                connection.write(case.text)
+                                sent.addAndGet(case.text.length.toLong())
+                            }
+                        } catch (_: IOException) {
+                            // The client has closed the connection.
+                        }
+                    }
+                val result = upstream.use { runBlocking { client.exchange(callTo(it.address)) { "answered" } } }
+                expectThat(result).isA<ExchangeResult.Broken>()
+                expectThat(sent.get()).describedAs("bytes sent").isLessThan(MAXIMUM_SENT_BYTES)
+            }
+        }
+
+    private fun callTo(address: String) =
+        UpstreamCall(
+            UpstreamId("u"),
+            address,
+            "GET",
+            "/",
+            "r1",
+            HeaderFields(),
+            body = null,
+            timeout = 20.seconds,
+            isAnswer = { it["X-Id"] != "other" },
+        )
+
+    private companion object {
+        val kilobyte = "x".repeat(1_000)
+
+        /** The bound of the client and what the sockets between hold. */
+        const val MAXIMUM_SENT_BYTES = 32L * 1024 * 1024
+    }
+}
