Leave upstreams alone that say that they leave or ask for a pause

Cause: two words of the platform were not read. An upstream that leaves says so in its answers, and one that turns a request away may say for how long it wants none; requests went on to both until the directory said something.

Change: UpstreamNotices keeps what each incarnation asked for. A leaving upstream gets new requests only while nobody else can have them, and for half of the drain time at most, which is a setting now. One that asked for a pause gets none until it is over; callers that nobody can serve are refused with the time that is left. A date or a malformed value asks for nothing.

--- a/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
+++ b/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
@@ -33,6 +33,7 @@
         Field("coldStartOverage", ratioRule),
         Field("coldStartTolerance", countRule),
         Field("stopGraceMillis", millisRule),
+        Field("drainMillis", millisRule),
     )
 
 /** Checks the settings of gateways. */
--- a/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AnswerRelay.kt
@@ -7,6 +7,7 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.generated.EventType
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.UpstreamAnswer
 import org.primrosesill.request.UpstreamBody
@@ -28,6 +29,7 @@
         dependencies.activity.answeredFrom(upstream.registration.availabilityZone)
         dependencies.activity.heard(upstream.id)
         description.load?.let { dependencies.loads.observe(upstream.id, it.running + it.waiting) }
+        takeNotices(description, upstream, job)
         val success = answer.status in 200..299
         return when {
             description.notRun -> AttemptEnd.NotRun("status ${answer.status}")
@@ -38,6 +40,22 @@
         }
     }
 
+    private fun takeNotices(description: AnswerDescription, upstream: KnownUpstream, job: ForwardingJob) {
+        val request = job.description.id
+        if (description.leaving && dependencies.notices.takeLeaving(upstream)) {
+            dependencies.events.record(
+                EventType.UPSTREAM_FAILING,
+                request,
+                upstream.id,
+                "its answer says that it leaves",
+            )
+        }
+        description.pause?.let {
+            dependencies.notices.takePause(upstream, it)
+            dependencies.events.record(EventType.UPSTREAM_FAILING, request, upstream.id, "it wants no request for $it")
+        }
+    }
+
     private suspend fun plain(
         job: ForwardingJob,
         upstream: KnownUpstream,
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -17,6 +17,7 @@
 import org.primrosesill.placement.Placement
 import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.placement.UpstreamLoads
+import org.primrosesill.placement.UpstreamNotices
 import org.primrosesill.request.UpstreamClient
 import org.primrosesill.route.ClientAccount
 import org.primrosesill.route.Route
@@ -34,6 +35,7 @@
     public val activity: UpstreamActivity,
     public val index: PartIndex,
     public val loads: UpstreamLoads,
+    public val notices: UpstreamNotices,
     public val retries: RetryAllowance,
     public val client: UpstreamClient,
     public val metrics: ForwardingMetrics,
--- a/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
@@ -37,6 +37,8 @@
  * @property otherInstance whether another incarnation than the expected one has the address
  * @property load null when the upstream does not tell it
  * @property encoded whether the body is not as the upstream made it
+ * @property leaving whether the upstream says that it will stop, so that it should get nothing new
+ * @property pause for how long the upstream wants no request, or null
  */
 public class AnswerDescription(
     public val signed: Boolean,
@@ -44,6 +46,8 @@
     public val otherInstance: Boolean,
     public val load: ReportedLoad?,
     public val encoded: Boolean,
+    public val leaving: Boolean,
+    public val pause: Duration?,
 )
 
 /**
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -40,6 +40,7 @@
 import org.primrosesill.placement.SilentUpstreams
 import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.placement.UpstreamLoads
+import org.primrosesill.placement.UpstreamNotices
 import org.primrosesill.placement.fleetPlacement
 import org.primrosesill.transport.ListenerLimits
 import org.primrosesill.transport.TrafficLoop
@@ -71,6 +72,7 @@
     private val self = newMember(settings)
     private val silent = SilentUpstreams(shortCode(self.router.value), activity, ::steadyMillis)
     private val news = TrafficNews(loads, index, silent)
+    private val notices = UpstreamNotices({ settings.drainMillis }, ::steadyMillis)
     private val fleetView =
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), settled = false), FleetLoad()))
     private val coldStart =
@@ -115,6 +117,7 @@
                 activity = activity,
                 index = index,
                 loads = loads,
+                notices = notices,
                 retries = RetryAllowance({ retryBound(settings) }, { fleetView.get().members }, ::steadyMillis),
                 client = client,
                 metrics = metrics,
@@ -183,6 +186,7 @@
             index = index,
             coldStart = coldStart,
             silent = silent,
+            notices = notices,
             fleet = { fleetView.get().load },
             crowded = { controlScope.launch { exchange.tellCounts() } },
             nowMillis = ::steadyMillis,
--- a/src/main/kotlin/org/primrosesill/gateway/SettingsInForce.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/SettingsInForce.kt
@@ -42,7 +42,7 @@
     private fun boundsOf(settings: GatewaySettings) =
         "retries ${settings.retryRatio} + ${settings.retryFixed} in ${settings.retryWindowMillis} ms, " +
             "cold starts ${settings.coldStartOverage} + ${settings.coldStartTolerance}, " +
-            "stop within ${settings.stopGraceMillis} ms"
+            "stop within ${settings.stopGraceMillis} ms, upstreams drain within ${settings.drainMillis} ms"
 }
 
 /** Sockets are bound, and peers know the zone, from the start to the end of a process. */
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -23,6 +23,7 @@
     public val index: PartIndex,
     public val coldStart: ColdStartBudget,
     public val silent: SilentUpstreams,
+    public val notices: UpstreamNotices,
     public val fleet: () -> FleetLoad,
     public val crowded: () -> Unit,
     public val nowMillis: () -> Long,
@@ -39,7 +40,12 @@
     override fun choose(request: PlacementRequest, view: DirectoryView): PlacementResult {
         val eligible = view.eligible(request.pool).filter { it.id !in request.excluded }
         if (eligible.isEmpty()) return PlacementResult.Refused("no upstream may take new requests", RETRY_AFTER)
-        val bearing = eligible.filter { mayBear(it, view) }
+        val accepting = inputs.notices.accepting(eligible)
+        if (accepting.isEmpty()) {
+            val pause = inputs.notices.shortestPause(eligible) ?: RETRY_AFTER
+            return PlacementResult.Refused("all upstreams are leaving or ask for a pause", pause)
+        }
+        val bearing = accepting.filter { mayBear(it, view) }
         if (bearing.isEmpty()) {
             return PlacementResult.Refused(
                 "all upstreams are cold and have enough to do",
--- a/src/main/kotlin/org/primrosesill/platform/WireHeaders.kt
+++ b/src/main/kotlin/org/primrosesill/platform/WireHeaders.kt
@@ -17,6 +17,7 @@
 import org.primrosesill.placement.ReportedLoad
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 private const val ATTEMPT_ID = "X-Attempt-Id"
@@ -30,9 +31,15 @@
 private const val SIGNATURE = "X-Server-Signature"
 private const val NOT_RUN = "X-Not-Executed"
 private const val LOAD = "X-Server-Load"
+private const val LEAVING = "Server-Leaving"
+private const val RETRY_AFTER = "Retry-After"
 private const val AUTHORIZATION = "Authorization"
 private const val CREDENTIAL_SCHEME = "Bearer "
 private const val MISDIRECTED_STATUS = 421
+private const val UNAVAILABLE_STATUS = 503
+
+/** The platform states seconds; a date of the standard's other form would need a clock that both sides share. */
+private val secondsPattern = Regex("[0-9]{1,9}(\\.[0-9]{1,9})?")
 
 /** Fields that concern one connection, and framing, which is written anew for each connection. */
 private val connectionFields =
@@ -105,6 +112,8 @@
             otherInstance = status == MISDIRECTED_STATUS,
             load = fields[LOAD]?.let(::readLoad),
             encoded = fields["Content-Encoding"]?.equals("identity", ignoreCase = true) == false,
+            leaving = fields.all(LEAVING).any { it.trim() == "1" },
+            pause = if (status == UNAVAILABLE_STATUS) fields[RETRY_AFTER]?.let(::readSeconds) else null,
         )
 
     override fun belongsTo(id: RequestId?, fields: HeaderFields): Boolean {
@@ -115,7 +124,7 @@
     override fun fieldsForCaller(fields: HeaderFields): HeaderFields = passable(fields, emptySet())
 
     override fun retryAfter(delay: Duration): HeaderField =
-        HeaderField("Retry-After", "%.2f".format(java.util.Locale.ROOT, delay.toDouble(DurationUnit.SECONDS)))
+        HeaderField(RETRY_AFTER, "%.2f".format(java.util.Locale.ROOT, delay.toDouble(DurationUnit.SECONDS)))
 }
 
 private fun passable(fields: HeaderFields, dropped: Set<String>): HeaderFields {
@@ -138,6 +147,13 @@
     return Prompt(parts, tokens[0], tokens[1])
 }
 
+private fun readSeconds(text: String): Duration? =
+    text
+        .trim()
+        .takeIf(secondsPattern::matches)
+        ?.toDouble()
+        ?.seconds
+
 private fun readLoad(text: String): ReportedLoad? {
     val numbers = text.split(',').map { it.trim().toIntOrNull() ?: return null }
     return if (numbers.size == 3) ReportedLoad(numbers[0], numbers[1], numbers[2]) else null
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -20,6 +20,7 @@
 import org.primrosesill.placement.PlacementResult
 import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.placement.UpstreamLoads
+import org.primrosesill.placement.UpstreamNotices
 import org.primrosesill.platform.wireHeaders
 import org.primrosesill.request.ScriptedClient
 import org.primrosesill.request.UpstreamClient
@@ -128,6 +129,7 @@
     val events = mutableListOf<Pair<EventType, String>>()
     val view = directory(configuration, upstreams)
     val activity = UpstreamActivity { 0 }
+    val notices = UpstreamNotices({ 2_000 }, { 0 })
     val handler =
         forwarder(
             ForwarderDependencies(
@@ -138,6 +140,7 @@
                 activity = activity,
                 index = PartIndex { 0 },
                 loads = UpstreamLoads(activity) { 0 },
+                notices = notices,
                 retries =
                     RetryAllowance(
                         { retryBound },
--- a/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
@@ -187,6 +187,7 @@
             PartIndex { 0 },
             ColdStartBudget({ ColdStartBound(1.5, 5) }, { FleetMembers(RouterId("self"), emptySet(), settled) }, { 0 }),
             SilentUpstreams("self", activity) { 0 },
+            UpstreamNotices({ 2_000 }, { 0 }),
             { fleet },
             {},
             { 0 },
--- a/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
+++ b/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
@@ -122,6 +122,7 @@
                     index,
                     ColdStartBudget({ ColdStartBound(1.5, 5) }, { members }, { now }),
                     silent,
+                    UpstreamNotices({ 2_000 }, { now }),
                     { FleetLoad() },
                     { at(now + tellingMillis) { tellCounts(this) } },
                     { now },
--- a/src/test/kotlin/org/primrosesill/platform/GatewayTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/GatewayTest.kt
@@ -102,6 +102,31 @@
         expectThat(answers.map { it.status }.distinct()).isEqualTo(listOf(200))
     }
 
+    private class Notice(val name: String, val mode: UpstreamMode, val target: String)
+
+    // Guards against requests that reach an upstream after it said that it leaves, or that it wants none for some time.
+    @TestFactory
+    fun `an upstream is left alone as it asked`(): List<DynamicTest> =
+        listOf(
+            Notice("a leaving desk", UpstreamMode.LEAVING, "/stock/1"),
+            Notice("a leaving engine", UpstreamMode.LEAVING, "/chat/1"),
+            Notice("a desk that wants a pause", UpstreamMode.PAUSING, "/stock/1"),
+            Notice("an engine that wants a pause", UpstreamMode.PAUSING, "/chat/1"),
+        ).map { case ->
+            dynamicTest(case.name) {
+                fixture.close()
+                fixture = GatewayFixture(zones = listOf("a"))
+                fixture.start()
+                runBlocking { fixture.call(CallerRequest(case.target, "first")) }
+                // Requests with the same prompt go to the upstream that has read it.
+                val preferred = fixture.site.upstreams.first { "first" in it.ran }
+                preferred.mode = case.mode
+                val answers = runBlocking { List(20) { fixture.call(CallerRequest(case.target, "then-$it")) } }
+                expectThat(answers.map { it.status }.distinct()).isEqualTo(listOf(200))
+                expectThat(preferred.reached.toList()).isEqualTo(listOf("first", "then-0"))
+            }
+        }
+
     // Guards against a stream whose second half is missing, doubled or out of order after its engine crashed.
     @Test
     fun `a stream that may be resumed goes on at another engine`() {
--- a/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
@@ -103,10 +103,13 @@
 }
 
 /** What an upstream does with a request. */
-enum class UpstreamMode { GOOD, CRASHING, HANGING, FAILING, FULL, CUTTING }
+enum class UpstreamMode { GOOD, CRASHING, HANGING, FAILING, FULL, CUTTING, LEAVING, PAUSING }
 
 /** An upstream with the wire's own behaviour. Counts what it ran. */
 class UpstreamStandIn(val id: String, private val events: Int, private val pauseMillis: Long = 5) : RequestHandler {
+    /** Ids of the requests that reached this upstream, in order. */
+    val reached = java.util.concurrent.ConcurrentLinkedQueue<String>()
+
     /** Ids of the requests that ran here, in order. */
     val ran = java.util.concurrent.ConcurrentLinkedQueue<String>()
 
@@ -116,14 +119,23 @@
     override suspend fun handle(request: InboundRequest, answer: OutboundAnswer) {
         val attempt = request.headers["X-Attempt-Id"].orEmpty()
         val echo = headerFieldsOf("X-Attempt-Id" to attempt)
+        // The gateway's own questions carry no id.
+        if (attempt.isNotEmpty()) reached += attempt
         if (request.headers["X-Expect-Instance"] !=
             id
         ) {
             return answer.respond(OutboundHead(421, echo.with("X-Instance-Id", id)))
         }
         if (mode == UpstreamMode.FULL) return answer.respond(OutboundHead(503, echo.with("X-Not-Executed", "1")))
+        if (mode == UpstreamMode.PAUSING) {
+            val refusal = echo + headerFieldsOf("X-Not-Executed" to "1", "Retry-After" to "2")
+            return answer.respond(OutboundHead(503, refusal))
+        }
         ran += attempt
-        val signed = echo + headerFieldsOf("X-Server-Signature" to "$id.$attempt", "X-Server-Load" to "1,0,96")
+        val leaving =
+            if (mode == UpstreamMode.LEAVING) headerFieldsOf("Server-Leaving" to "1") else headerFieldsOf()
+        val signed =
+            echo + leaving + headerFieldsOf("X-Server-Signature" to "$id.$attempt", "X-Server-Load" to "1,0,96")
         when (mode) {
             UpstreamMode.CRASHING -> return answer.abort()
             UpstreamMode.HANGING -> delay(60_000)
--- a/src/test/kotlin/org/primrosesill/platform/WireHeadersTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/WireHeadersTest.kt
@@ -21,6 +21,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 class WireHeadersTest {
@@ -147,6 +148,39 @@
         expectThat(wire.describe(200, headerFieldsOf("X-Server-Load" to "3,x,8")).load).isNull()
     }
 
+    // Guards against an upstream that asks for a pause and gets requests, and against one that is left out by mistake.
+    @TestFactory
+    fun `an upstream says for how long it wants no request`(): List<DynamicTest> =
+        listOf(
+            Triple(503, "2", 2.seconds),
+            Triple(503, " 0.25 ", 250.milliseconds),
+            Triple(503, "0", 0.seconds),
+            Triple(503, "86400", 86_400.seconds),
+            Triple(503, "-1", null),
+            Triple(503, "1e9", null),
+            Triple(503, "NaN", null),
+            Triple(503, "", null),
+            Triple(503, "9".repeat(40), null),
+            Triple(503, "Fri, 31 Dec 2027 23:59:59 GMT", null),
+            Triple(429, "2", null),
+            Triple(200, "2", null),
+        ).map { (status, value, expected) ->
+            dynamicTest("$status with '${value.take(20)}'") {
+                expectThat(wire.describe(status, headerFieldsOf("Retry-After" to value)).pause).isEqualTo(expected)
+            }
+        }
+
+    // Guards against a request to an upstream that has said that it will stop.
+    @Test
+    fun `an upstream says that it is leaving`() {
+        val values = mapOf("1" to true, " 1 " to true, "0" to false, "" to false, "yes" to false)
+        values.forEach { (value, leaving) ->
+            val description = wire.describe(200, headerFieldsOf("Server-Leaving" to value))
+            expectThat(description.leaving).describedAs("'$value'").isEqualTo(leaving)
+        }
+        expectThat(wire.describe(200, HeaderFields()).leaving).isEqualTo(false)
+    }
+
     // Guards against an answer to another request.
     @Test
     fun `an answer belongs to the request whose id it repeats`() {
