Let the seeds ask the platform when all gateways start, and list in one call

Cause: until a gateway has heard of the others it takes itself for one of a few readers.

Change: StartDuty. Started again, a gateway lists at once, since callers wait, and does not watch while its view is fresh. A view from a peer brings its age. A listing is one call, since no prefix is needed.

--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -105,7 +105,9 @@
         val sender = message.parts.firstOrNull() ?: return
         takeChanges(sender.member, message)
         keeper.takeAge(sender.configurationRevision, message.platformAgeMillis)
-        if (sender.configurationRevision > keeper.revision && !catchingUp) scope.launch { catchUp(sender) }
+        if (sender.configurationRevision > keeper.revision && !catchingUp) {
+            scope.launch { catchUp(sender, message.platformAgeMillis) }
+        }
         val answer = fleet.answerTo(message, keeper) ?: return
         send(listOf(sender.member.address), answer)
     }
@@ -123,8 +125,10 @@
         if (message.changesSince <= keeper.revision) takeItems(sender, message.changesSince, changes)
     }
 
-    private suspend fun catchUp(sender: RouterPart) {
+    /** [ageMillis] is what the sender knows of the age of its view. */
+    private suspend fun catchUp(sender: RouterPart, ageMillis: Long) {
         catchingUp = true
+        val started = nowMillis()
         delay(patience())
         val since = keeper.revision
         if (sender.configurationRevision > since) {
@@ -132,7 +136,10 @@
             val peer = sender.member
             client.items(peer.address, since).fold(
                 { events.record(EventType.PEER_FAILED, "changes after revision $since: $it") },
-                { takeItems(peer, since, it) },
+                {
+                    takeItems(peer, since, it)
+                    if (ageMillis >= 0) keeper.takeAge(it.revision, ageMillis + nowMillis() - started)
+                },
             )
         }
         catchingUp = false
@@ -147,7 +154,8 @@
     }
 
     /** An announcement usually brings a change, and a gateway that watches the platform hears of it there. */
-    private fun patience(): Duration = if (fleet.reads(keeper.ageMillis)) READER_PATIENCE else NEWS_PATIENCE
+    private fun patience(): Duration =
+        if (fleet.reads(keeper.ageMillis, nowMillis())) READER_PATIENCE else NEWS_PATIENCE
 
     private companion object {
         val INTERVAL = 400.milliseconds
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -40,6 +40,7 @@
     private val news: TrafficNews,
     private val events: EventLog,
     startedAtMillis: Long,
+    private val startDuty: StartDuty,
     private val random: Random,
 ) {
     private val members = MemberTable(self, seeds, expectsVmList = false, MEMBER_SETTINGS)
@@ -93,8 +94,10 @@
 
     private fun isSmall() = members.live().size <= SMALL_FLEET
 
-    /** Whether this gateway watches the platform, when its view is [ageMillis] old. */
-    fun reads(ageMillis: Long?): Boolean = readsPlatform(members.self(), members.live(), ageMillis)
+    /** Whether this gateway asks the platform, when its view is [ageMillis] old. */
+    fun reads(ageMillis: Long?, nowMillis: Long): Boolean =
+        (isKnown || !startDuty.leavesItToOthers(ageMillis, nowMillis)) &&
+            readsPlatform(members.self(), members.live(), ageMillis)
 
     /** Takes the message of a peer. */
     fun take(message: ExchangeMessage, nowMillis: Long) {
@@ -109,11 +112,12 @@
         message.sender?.let { news.takeCounts(it, message) }
     }
 
-    /** Returns the answer to a peer that does not know some members, or null when none is needed. */
+    /** Returns the answer to a peer that lacks members or has no view of the platform, or null when none is needed. */
     fun answerTo(message: ExchangeMessage, keeper: DirectoryKeeper): ExchangeMessage? {
         val asked = message.wanted.chunked(SHORT_CODE_LENGTH).toSet()
         val introduced = members.live().filter { shortCode(it.router.value) in asked }
-        if (introduced.isEmpty()) return null
+        val hasNoView = message.parts.firstOrNull()?.configurationRevision == 0L && keeper.revision > 0
+        if (introduced.isEmpty() && !hasNoView) return null
         // An answer asks nothing, or two gateways that both miss a member would answer each other without end.
         return message(keeper, introduced).copy(wanted = "")
     }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -96,11 +96,22 @@
         GossipSocket(peerSocket(settings), settings.gossipPort, events) { message ->
             controlScope.launch { exchange.receive(message) }
         }
-    val fleet = Fleet(self, settings.peers.toSet() - settings.peerAddress, news, events, steadyMillis(), Random.Default)
+    private val seeds = settings.peers.toSet() - settings.peerAddress
+    private val startDuty =
+        StartDuty(
+            self.router,
+            isSeed = settings.peerAddress in settings.peers,
+            hasSeeds = seeds.isNotEmpty(),
+            settings.firstStart,
+            steadyMillis(),
+        )
+    val fleet = Fleet(self, seeds, news, events, steadyMillis(), startDuty, Random.Default)
     val exchange: ExchangeLoop =
         ExchangeLoop(controlScope, fleet, news, keeper, peers, events, ::steadyMillis, gossip::send)
     val platformLoop =
-        PlatformLoop(adapter.feed(settings.platformAddress, client), keeper) { fleet.reads(keeper.ageMillis) }
+        PlatformLoop(adapter.feed(settings.platformAddress, client), keeper) {
+            fleet.reads(keeper.ageMillis, steadyMillis())
+        }
     val peerHandler = PeerHandler(exchange, news, control.dispatcher)
     val heldPartsLoop =
         HeldPartsLoop(settings.firstStart, keeper, fleet, peers, news, events, exchange::startRound) {
--- a/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
@@ -23,9 +23,10 @@
     suspend fun run(): Nothing {
         while (true) {
             when {
-                keeper.revision == 0L || historyGone -> finish(list())
-                reads() -> finish(watch())
-                else -> delay(DUTY_CHECK)
+                historyGone -> finish(list())
+                !reads() -> delay(DUTY_CHECK)
+                keeper.revision == 0L -> finish(list())
+                else -> finish(watch())
             }
         }
     }
--- a/src/main/kotlin/org/primrosesill/gateway/ReaderDuty.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ReaderDuty.kt
@@ -21,7 +21,7 @@
 private const val NEXT_READER_MILLIS = 60L
 
 /** In a large fleet evidence takes longer to get around, and news arrives on many ways. */
-private const val LARGE_FLEET_AGE_MILLIS = 1_800L
+internal const val LARGE_FLEET_AGE_MILLIS = 1_800L
 private const val LARGE_FLEET_LAST_READER_MILLIS = 900L
 
 /**
--- a/src/main/kotlin/org/primrosesill/platform/StoreFeed.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreFeed.kt
@@ -21,25 +21,21 @@
 /** Returns the store at [address] as a source of items. */
 public fun storeFeed(address: String, client: UpstreamClient): PlatformFeed = StoreFeed(address, client)
 
+/** Listings and watches name no prefix: all keys in the store are the operator's and the upstreams'. */
 private class StoreFeed(private val address: String, private val client: UpstreamClient) : PlatformFeed {
     override suspend fun list(): Either<FeedError, PlatformListing> {
-        val items = ArrayList<PlatformItem>()
-        var revision: Long? = null
-        for (prefix in listOf(OPERATOR_PREFIX, SERVER_PREFIX)) {
-            var after: String? = null
-            do {
-                val page = range(prefix, after).fold({ return it.left() }, { it })
-                items += page.items
-                // Pages are no snapshot: what changed after the first one is asked for again by the watch.
-                revision = revision ?: page.revision
-                after = page.items.lastOrNull()?.key
-            } while (page.more && after != null)
+        val first = range(after = null).fold({ return it.left() }, { it })
+        val items = ArrayList(first.items)
+        var page = first
+        while (page.more && page.items.isNotEmpty()) {
+            page = range(page.items.last().key).fold({ return it.left() }, { it })
+            items += page.items
         }
-        return PlatformListing(revision ?: 0, items).right()
+        // Pages are no snapshot: what changed after the first one is asked for again by the watch.
+        return PlatformListing(first.revision, items).right()
     }
 
     override suspend fun watch(revision: Long, wait: Duration): Either<FeedError, PlatformChanges> {
-        // One watch covers both prefixes, since all keys in the store are the operator's and the servers'.
         val path = "/api/kv-watch?path_prefix=&after=$revision&wait_ms=${wait.inWholeMilliseconds}"
         return read(path, wait + ANSWER_TIMEOUT).flatMap { body ->
             readWireObject(body, "watch") { wire ->
@@ -48,9 +44,9 @@
         }
     }
 
-    private suspend fun range(prefix: String, after: String?): Either<FeedError, Page> {
+    private suspend fun range(after: String?): Either<FeedError, Page> {
         val next = after?.let { "&after=${encoded(it)}" }.orEmpty()
-        return read("/api/kv-range?path_prefix=${encoded(prefix)}$next", ANSWER_TIMEOUT).flatMap { body ->
+        return read("/api/kv-range?path_prefix=$next", ANSWER_TIMEOUT).flatMap { body ->
             readWireObject(body, "range") { wire ->
                 Page(wire.integer("at"), wire.objects("entries").map(::readItem), wire.flag("has_more"))
             }.mapLeft { FeedError.Malformed(it.toString()) }
--- a/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
@@ -51,7 +51,7 @@
     private val activity = UpstreamActivity { 0 }
     private val news =
         TrafficNews(UpstreamLoads(activity) { 0 }, PartIndex { 0 }, SilentUpstreams("self", activity) { 0 })
-    private val fleet = Fleet(self, emptySet(), news, events, 0, Random(1))
+    private val fleet = Fleet(self, emptySet(), news, events, 0, noStartDuty, Random(1))
     val keeper: DirectoryKeeper =
         DirectoryKeeper(UpstreamDirectory(usersPlatform().itemDecoder), events, { 0 }, {}) {
             loop.announce(NewsSource.PLATFORM)
--- a/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
@@ -42,7 +42,7 @@
     val activity = UpstreamActivity { 0 }
     val loads = UpstreamLoads(activity) { 0 }
     val keeper = DirectoryKeeper(UpstreamDirectory(usersPlatform().itemDecoder), noEvents, { 0 }, {}) {}
-    val fleet = Fleet(member, emptySet(), news(), noEvents, 0, Random(1))
+    val fleet = Fleet(member, emptySet(), news(), noEvents, 0, noStartDuty, Random(1))
 
     fun message(): ExchangeMessage = fleet.message(keeper)
 
--- a/src/test/kotlin/org/primrosesill/gateway/HeldPartsLoopTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/HeldPartsLoopTest.kt
@@ -71,7 +71,7 @@
                     val silent = SilentUpstreams("self", activity) { 0 }
                     val news = TrafficNews(UpstreamLoads(activity) { 0 }, PartIndex { 0 }, silent)
                     val self = Member(RouterId("self"), "10.0.0.1:80", AvailabilityZoneId("a"), 0, 1, MemberState.LIVE)
-                    val fleet = Fleet(self, setOf("10.0.0.2:80"), news, events, 0, Random(1))
+                    val fleet = Fleet(self, setOf("10.0.0.2:80"), news, events, 0, noStartDuty, Random(1))
                     val keeper = DirectoryKeeper(UpstreamDirectory(usersPlatform().itemDecoder), events, { 0 }, {}) {}
                     keeper.take(listing(case.engines), "test")
                     var asked = 0
