Fetch the platform's items from a peer only when the own listing fails

Change: a gateway that asks the platform itself waits up to a second for its first listing, or until that fails, before it asks a peer.

--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.discovery.PlatformChanges
 import org.primrosesill.discovery.PlatformItem
 import org.primrosesill.event.EventLog
@@ -130,6 +131,7 @@
         catchingUp = true
         val started = nowMillis()
         delay(patience())
+        awaitListing()
         val since = keeper.revision
         if (sender.configurationRevision > since) {
             // The one that told is asked, so that the fleet does not ask the same gateway.
@@ -153,6 +155,14 @@
         if (keeper.revision > before) announce(fleet.sourceOf(peer))
     }
 
+    /** A gateway that lists the platform at its start need not fetch all of it from a peer as well. */
+    private suspend fun awaitListing() {
+        if (!fleet.reads(keeper.ageMillis, nowMillis())) return
+        withTimeoutOrNull(LISTING_PATIENCE) {
+            while (keeper.revision == 0L && keeper.platformFailure == null) delay(LISTING_POLL)
+        }
+    }
+
     /** An announcement usually brings a change, and a gateway that watches the platform hears of it there. */
     private fun patience(): Duration =
         if (fleet.reads(keeper.ageMillis, nowMillis())) READER_PATIENCE else NEWS_PATIENCE
@@ -162,6 +172,10 @@
         val READER_PATIENCE = 150.milliseconds
         val NEWS_PATIENCE = 80.milliseconds
 
+        /** A process that has just started takes long to read a large configuration. */
+        val LISTING_PATIENCE = 1_000.milliseconds
+        val LISTING_POLL = 40.milliseconds
+
         /** Characters of changes that a datagram carries. */
         const val MAXIMUM_CHANGES_LENGTH = 4_000
 
