Start with bounds that are fractions

Cause: the platform's bounds may be fractions, and three settings of a gateway had to be whole numbers.

Change: the fixed parts of the retry and cold start bounds and the drain time are numbers; whole requests and milliseconds of them are used, rounded down.

Result: GatewaySettingsChecksTest.

--- a/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
+++ b/src/main/kotlin/org/primrosesill/contract/GatewaySettingsChecks.kt
@@ -13,7 +13,9 @@
 private val addressRule = TextRule("an IP number and a port", Regex("([0-9.]+|\\[[0-9a-fA-F:]+]):[0-9]{1,5}"))
 private val millisRule = WholeNumberRule(1L..3_600_000L)
 private val ratioRule = NumberRule(0.0..100.0)
-private val countRule = WholeNumberRule(0L..1_000_000L)
+
+/** Bounds of a platform may be fractions; whole requests and milliseconds of them are used. */
+private val boundRule = NumberRule(0.0..3_600_000.0)
 
 private val settingsRule =
     ObjectRule(
@@ -29,11 +31,11 @@
         Field("firstStart", FlagRule),
         Field("retryRatio", ratioRule),
         Field("retryWindowMillis", millisRule),
-        Field("retryFixed", countRule),
+        Field("retryFixed", boundRule),
         Field("coldStartOverage", ratioRule),
-        Field("coldStartTolerance", countRule),
+        Field("coldStartTolerance", boundRule),
         Field("stopGraceMillis", millisRule),
-        Field("drainMillis", millisRule),
+        Field("drainMillis", boundRule),
     )
 
 /** Checks the settings of gateways. */
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -72,12 +72,12 @@
     private val self = newMember(settings)
     private val silent = SilentUpstreams(shortCode(self.router.value), activity, ::steadyMillis)
     private val news = TrafficNews(loads, index, silent)
-    private val notices = UpstreamNotices({ settings.drainMillis }, ::steadyMillis)
+    private val notices = UpstreamNotices({ settings.drainMillis.toLong() }, ::steadyMillis)
     private val fleetView =
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), settled = false), FleetLoad()))
     private val coldStart =
         ColdStartBudget(
-            { ColdStartBound(settings.coldStartOverage, settings.coldStartTolerance) },
+            { ColdStartBound(settings.coldStartOverage, settings.coldStartTolerance.toInt()) },
             { fleetView.get().members },
             ::steadyMillis,
         )
@@ -212,7 +212,7 @@
     parseSocketAddress(settings.peerAddress).fold({ error("peer address: $it") }, { it })
 
 private fun retryBound(settings: GatewaySettings) =
-    RetryBound(settings.retryRatio, settings.retryWindowMillis, settings.retryFixed)
+    RetryBound(settings.retryRatio, settings.retryWindowMillis, settings.retryFixed.toInt())
 
 /** Ids travel with each exchange; 48 bits are enough to tell incarnations apart. */
 private const val ROUTER_ID_LENGTH = 12
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/contract/GatewaySettingsChecksTest.kt
@@ -0,0 +1,31 @@
+/*
+ * Which settings a gateway starts with.
+ */
+package org.primrosesill.contract
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class GatewaySettingsChecksTest {
+    private fun check(setting: String) =
+        GatewaySettingsChecks.check(
+            """{"name":"g","availabilityZone":"a","callerAddress":"127.0.0.1:1","readinessAddress":"127.0.0.1:2",
+            "peerAddress":"127.0.0.1:3","metricsAddress":"127.0.0.1:4","gossipPort":5,"platformAddress":"127.0.0.1:6",
+            $setting}""",
+        )
+
+    private val names = listOf("retryFixed", "coldStartTolerance", "drainMillis", "retryRatio", "coldStartOverage")
+    private val values = mapOf("0" to true, "52" to true, "37.096774193548384" to true, "-1" to false, "true" to false)
+
+    // Guards against a gateway that does not start where a bound of the platform is a fraction: seen with 37.096 retries.
+    @TestFactory
+    fun `bounds may be fractions and not negative`(): List<DynamicTest> =
+        names.flatMap { name ->
+            values.map { (value, accepted) ->
+                dynamicTest("$name $value") { expectThat(check("\"$name\":$value").isRight()).isEqualTo(accepted) }
+            }
+        }
+}
