Collect the comments of a stream without copying them again

Cause: each comment without an event copied all comments before it, which is quadratic up to the bound of 256 KB.

--- a/src/main/kotlin/org/primrosesill/forwarding/StreamReader.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamReader.kt
@@ -9,6 +9,7 @@
 import org.primrosesill.answer.StreamEvent
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.UpstreamBody
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
 /** What comes next in a stream. */
@@ -23,7 +24,7 @@
 
 internal class StreamReader(private val body: UpstreamBody) {
     private val parser = EventStreamParser(MAXIMUM_EVENT_BYTES)
-    private var comments = ByteArray(0)
+    private val comments = ByteArrayOutputStream()
     private var bytesSinceEvent = 0
 
     /** Waits up to [wait] for the next event. */
@@ -53,10 +54,9 @@
 
     /** Returns [event] with the comments before it, or null when it is a comment itself. */
     private fun withComments(event: StreamEvent): StreamEvent? {
-        val bytes = comments + event.bytes
-        val isComment = event.data == null && event.id == null
-        comments = if (isComment) bytes else ByteArray(0)
-        return if (isComment) null else StreamEvent(bytes, event.id, event.data)
+        comments.write(event.bytes)
+        if (event.data == null && event.id == null) return null
+        return StreamEvent(comments.toByteArray(), event.id, event.data).also { comments.reset() }
     }
 
     private companion object {
