Record how far a gateway is behind, and why

The logs could not tell the four hypotheses of the incident apart. Two gauges give the age of the view and how long it has been behind.

--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -21,6 +21,9 @@
 
     public class UpstreamListed(public val upstream: UpstreamId, public val state: String) : DirectoryChange
 
+    /** The entry of an upstream was removed, which may have lapsed while the platform was away, so that it stays for a while. */
+    public class UpstreamLapsed(public val upstream: UpstreamId, public val reason: String) : DirectoryChange
+
     public class UpstreamGone(public val upstream: UpstreamId, public val reason: String) : DirectoryChange
 
     public class ItemRefused(public val key: String, public val reason: String) : DirectoryChange
@@ -168,9 +171,15 @@
             remove(upstream, "its entry was removed")
         } else {
             entry.goneAtMillis = goneAt
+            changes += DirectoryChange.UpstreamLapsed(upstream, describeLapse(since, goneAt, nowMillis))
         }
     }
 
+    private fun describeLapse(reachableSince: Long?, goneAt: Long, nowMillis: Long): String {
+        val platform = reachableSince?.let { "answers for ${nowMillis - it} ms" } ?: "does not answer"
+        return "its entry was removed and may come back within ${goneAt - nowMillis} ms, as the platform $platform"
+    }
+
     private fun remove(upstream: UpstreamId, reason: String) {
         upstreams.remove(upstream)
         changes += DirectoryChange.UpstreamGone(upstream, reason)
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
@@ -15,6 +15,7 @@
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
 import org.primrosesill.generated.EventType
+import org.primrosesill.model.UpstreamId
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 
@@ -113,21 +114,18 @@
             is DirectoryChange.ZoneEvacuated -> line(EventType.ZONE_OUT, "evacuated, from $source", change.zone.value)
             is DirectoryChange.ZoneReturned -> line(EventType.ZONE_BACK, "taken back, from $source", change.zone.value)
             is DirectoryChange.UpstreamListed ->
-                events.record(
-                    EventType.UPSTREAM_JOINED,
-                    "${change.state}, from $source",
-                    EventSubject(upstream = change.upstream, configurationRevision = revision),
-                )
+                upstreamLine(EventType.UPSTREAM_JOINED, "${change.state}, from $source", change.upstream)
+            is DirectoryChange.UpstreamLapsed ->
+                upstreamLine(EventType.UPSTREAM_LAPSED, "${change.reason}, from $source", change.upstream)
             is DirectoryChange.UpstreamGone ->
-                events.record(
-                    EventType.UPSTREAM_LOST,
-                    "${change.reason}, from $source",
-                    EventSubject(upstream = change.upstream, configurationRevision = revision),
-                )
+                upstreamLine(EventType.UPSTREAM_LOST, "${change.reason}, from $source", change.upstream)
             is DirectoryChange.ItemRefused -> line(EventType.ITEM_REFUSED, "${change.reason}, from $source", change.key)
         }
     }
 
+    private fun upstreamLine(type: EventType, cause: String, upstream: UpstreamId) =
+        events.record(type, cause, EventSubject(upstream = upstream, configurationRevision = directory.revision))
+
     private fun line(type: EventType, cause: String, subject: String) =
         events.record(type, cause, EventSubject(subject = subject, configurationRevision = directory.revision))
 }
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.discovery.PlatformChanges
 import org.primrosesill.discovery.PlatformItem
 import org.primrosesill.event.EventLog
@@ -17,9 +16,7 @@
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.RelayedItem
 import org.primrosesill.generated.RelayedItems
-import org.primrosesill.generated.RouterPart
 import org.primrosesill.model.UpstreamId
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs on the control thread. */
@@ -28,15 +25,27 @@
     private val fleet: Fleet,
     private val news: TrafficNews,
     private val keeper: DirectoryKeeper,
-    private val client: PeerClient,
+    client: PeerClient,
     private val events: EventLog,
     private val nowMillis: () -> Long,
     private val send: (Collection<String>, ExchangeMessage) -> Unit,
 ) {
-    private var catchingUp = false
     private var gatheredFrom: NewsSource? = null
     private var announcedRevision = 0L
     private var tellingCounts = false
+    private val catchUp =
+        CatchUp(
+            scope,
+            keeper,
+            client,
+            events,
+            nowMillis,
+            reads = { fleet.reads(keeper.ageMillis, nowMillis()) },
+            take = ::takeItems,
+        )
+
+    /** How long this gateway has known of a revision that it lacks, or 0. */
+    val behindMillis: Long get() = catchUp.behindMillis
 
     /** Starts a round after the other. */
     suspend fun run(): Nothing {
@@ -52,6 +61,9 @@
         send(round.addresses, round.message)
     }
 
+    /** Records that this gateway lacks a revision for long. */
+    fun tick() = catchUp.tick()
+
     /** Tells other gateways at once of news that this one has from [source], and some of them tell others. */
     fun announce(source: NewsSource) {
         val gathering = gatheredFrom != null
@@ -106,9 +118,7 @@
         val sender = message.parts.firstOrNull() ?: return
         takeChanges(sender.member, message)
         keeper.takeAge(sender.configurationRevision, message.platformAgeMillis)
-        if (sender.configurationRevision > keeper.revision && !catchingUp) {
-            scope.launch { catchUp(sender, message.platformAgeMillis) }
-        }
+        catchUp.hear(sender, message.platformAgeMillis)
         val answer = fleet.answerTo(message, keeper) ?: return
         send(listOf(sender.member.address), answer)
     }
@@ -126,27 +136,6 @@
         if (message.changesSince <= keeper.revision) takeItems(sender, message.changesSince, changes)
     }
 
-    /** [ageMillis] is what the sender knows of the age of its view. */
-    private suspend fun catchUp(sender: RouterPart, ageMillis: Long) {
-        catchingUp = true
-        val started = nowMillis()
-        delay(patience())
-        awaitListing()
-        val since = keeper.revision
-        if (sender.configurationRevision > since) {
-            // The one that told is asked, so that the fleet does not ask the same gateway.
-            val peer = sender.member
-            client.items(peer.address, since).fold(
-                { events.record(EventType.PEER_FAILED, "changes after revision $since: $it") },
-                {
-                    takeItems(peer, since, it)
-                    if (ageMillis >= 0) keeper.takeAge(it.revision, ageMillis + nowMillis() - started)
-                },
-            )
-        }
-        catchingUp = false
-    }
-
     private fun takeItems(peer: Member, since: Long, page: RelayedItems) {
         val before = keeper.revision
         val items = page.items.map { PlatformItem(it.key, it.revision, it.value) }
@@ -155,26 +144,8 @@
         if (keeper.revision > before) announce(fleet.sourceOf(peer))
     }
 
-    /** A gateway that lists the platform at its start need not fetch all of it from a peer as well. */
-    private suspend fun awaitListing() {
-        if (!fleet.reads(keeper.ageMillis, nowMillis())) return
-        withTimeoutOrNull(LISTING_PATIENCE) {
-            while (keeper.revision == 0L && keeper.platformFailure == null) delay(LISTING_POLL)
-        }
-    }
-
-    /** An announcement usually brings a change, and a gateway that watches the platform hears of it there. */
-    private fun patience(): Duration =
-        if (fleet.reads(keeper.ageMillis, nowMillis())) READER_PATIENCE else NEWS_PATIENCE
-
     private companion object {
         val INTERVAL = 400.milliseconds
-        val READER_PATIENCE = 150.milliseconds
-        val NEWS_PATIENCE = 80.milliseconds
-
-        /** A process that has just started takes long to read a large configuration. */
-        val LISTING_PATIENCE = 1_000.milliseconds
-        val LISTING_POLL = 40.milliseconds
 
         /** Characters of changes that a datagram carries. */
         const val MAXIMUM_CHANGES_LENGTH = 4_000
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -65,6 +65,12 @@
     @Volatile
     var stopping = false
 
+    @Volatile
+    private var viewAgeMillis = -1L
+
+    @Volatile
+    private var viewBehindMillis = 0L
+
     val metrics = GatewayMetrics()
     private val activity = UpstreamActivity(::steadyMillis)
     private val index = PartIndex(::steadyMillis)
@@ -155,6 +161,8 @@
         }
         metrics.gauge("fleet.settled") { if (fleetView.get().members.settled) 1 else 0 }
         metrics.gauge("upstreams.listed") { keeper.view.upstreamIds.size }
+        metrics.gauge("view.age.millis") { viewAgeMillis }
+        metrics.gauge("view.behind.millis") { viewBehindMillis }
         metrics.gauge("configuration.version") { keeper.view.configuration?.version ?: 0 }
     }
 
@@ -179,6 +187,9 @@
         keeper.tick()
         fleet.tick(now)
         exchange.tellSilence()
+        exchange.tick()
+        viewAgeMillis = keeper.ageMillis ?: -1
+        viewBehindMillis = exchange.behindMillis
         fleetView.set(fleet.view(now))
     }
 
