--- a/src/test/kotlin/org/primrosesill/discovery/UpstreamDirectoryTest.kt
+++ b/src/test/kotlin/org/primrosesill/discovery/UpstreamDirectoryTest.kt
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.forwarding.configuration
@@ -119,6 +120,19 @@
         expectThat(eligible()).isEqualTo(listOf("1"))
     }
 
+    // Guards against an upstream that left and gets requests for two seconds more, since a peer that the platform refuses
+    // said that the platform is away.
+    @Tag("known-red")
+    @Test
+    fun `a peer that the platform refuses does not put off a removal`() {
+        list(2, item("up/1", 1, "ready"), item("up/2", 2, "ready"))
+        directory.platformAnswered(9_900)
+        directory.platformAnswersPeer(null)
+        directory.platformAnswered(10_000)
+        change(item("up/1", 3, null), at = 10_000)
+        expectThat(eligible()).isEqualTo(listOf("2"))
+    }
+
     // Guards against an upstream that left during an outage and is used for ever.
     @Test
     fun `what a listing lacks is gone`() {
--- a/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
@@ -68,11 +68,6 @@
     }
 }
 
-private fun entry(padding: Int) =
-    """{"service":"s","address":"10.0.0.9:80","zone":"a","state":"ready","max_batch":9,"note":"${"x".repeat(
-        padding,
-    )}"}"""
-
 class ExchangeLoopTest {
     private class Case(val name: String, val padding: Int, val missesOne: Boolean, val calls: Int, val revision: Long)
 
@@ -88,11 +83,11 @@
                 runTest {
                     val teller = LoopNode(1, this)
                     val hearer = LoopNode(2, this)
-                    teller.learn(0, 1, entry(padding = 10))
-                    hearer.learn(0, 1, entry(padding = 10))
+                    teller.learn(0, 1, entry(10))
+                    hearer.learn(0, 1, entry(10))
                     advanceTimeBy(SETTLED_MILLIS)
                     val told = if (case.missesOne) 2L else 1L
-                    if (case.missesOne) teller.learn(1, 2, entry(padding = 10))
+                    if (case.missesOne) teller.learn(1, 2, entry(10))
                     advanceTimeBy(SETTLED_MILLIS)
                     teller.learn(told, told + 1, entry(case.padding))
                     advanceTimeBy(SETTLED_MILLIS)
@@ -118,7 +113,7 @@
                 runTest {
                     val teller = LoopNode(1, this)
                     val starting = LoopNode(2, this)
-                    teller.learn(0, 1, entry(padding = 9_000))
+                    teller.learn(0, 1, entry(9_000))
                     advanceTimeBy(SETTLED_MILLIS)
                     starting.loop.receive(teller.sent.last())
                     case.failedAfterMillis?.let {
@@ -127,7 +122,7 @@
                     }
                     case.listedAfterMillis?.let {
                         advanceTimeBy(it)
-                        starting.learn(0, 1, entry(padding = 9_000))
+                        starting.learn(0, 1, entry(9_000))
                     }
                     advanceTimeBy(STARTED_MILLIS)
                     expectThat(starting.client.calls).describedAs("calls to peers").isEqualTo(case.calls)
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/gateway/LateChangesTest.kt
@@ -0,0 +1,233 @@
+/*
+ * How late changes of the platform come into force while gateways, links or the platform are in trouble.
+ */
+package org.primrosesill.gateway
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.model.PoolId
+import strikt.api.expectThat
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
+
+class LateChangesTest {
+    /**
+     * @property valueLength characters of each change
+     * @property refusedShare part of the gateways that the platform turns away
+     * @property stalling how many gateways fall silent in the middle of each answer to another one
+     */
+    private class Storm(
+        val name: String,
+        val fleet: SimulatedFleetSettings,
+        val valueLength: Int,
+        val boundMillis: Long,
+        val refusedShare: Double = 0.0,
+        val stalling: Int = 0,
+    )
+
+    // Guards against configurations that gateways have seconds late in a storm of them.
+    @TestFactory
+    fun `changes in a storm reach all gateways in time`(): List<DynamicTest> =
+        listOf(
+            Storm("calm", largeFleet, MEDIUM_VALUE, LARGE_BOUND_MILLIS),
+            Storm("a third refused", largeFleet, MEDIUM_VALUE, LARGE_BOUND_MILLIS, REFUSED_SHARE),
+            Storm("large values", largeFleet, LARGE_VALUE, LARGE_BOUND_MILLIS),
+            Storm("two peers fall silent", largeFleet, MEDIUM_VALUE, LARGE_BOUND_MILLIS, stalling = 2),
+            Storm("a small fleet", smallFleet, LARGE_VALUE, SMALL_BOUND_MILLIS, REFUSED_SHARE),
+        ).map(::testOf)
+
+    // Guards against gateways that fetch a large configuration from the same one, whose link it fills for seconds: seen in a
+    // storm of configurations with 84 gateways, a third of which the store refused.
+    @Tag("known-red")
+    @TestFactory
+    fun `large values reach gateways that the platform refuses in time`(): List<DynamicTest> =
+        listOf(Storm("a third refused", largeFleet, LARGE_VALUE, LARGE_BOUND_MILLIS, REFUSED_SHARE)).map(::testOf)
+
+    // Guards against a gateway that waits for ever for the rest of an answer, and takes no change from anybody meanwhile.
+    @Tag("known-red")
+    @TestFactory
+    fun `changes reach gateways that asked a peer which fell silent in its answer`(): List<DynamicTest> =
+        listOf(
+            Storm("a large fleet", largeFleet, MEDIUM_VALUE, LARGE_BOUND_MILLIS, REFUSED_SHARE, stalling = 2),
+            Storm("a small fleet", smallFleet, LARGE_VALUE, SMALL_BOUND_MILLIS, REFUSED_SHARE, stalling = 1),
+        ).map(::testOf)
+
+    private fun testOf(storm: Storm): DynamicTest =
+        dynamicTest(storm.name) {
+            val lags = (1..SEEDS).map { seed -> play(storm, seed) }
+            println("${storm.name}: latest change after ${lags.map { it.millis }} ms, seeds 1 to $SEEDS")
+            val worst = lags.maxBy { it.millis }
+            expectThat(worst.millis).describedAs(worst.description).isLessThanOrEqualTo(storm.boundMillis)
+        }
+
+    private class Removal(val name: String, val fleet: SimulatedFleetSettings, val boundMillis: Long)
+
+    // Guards against requests to an upstream that has left without a word, while the platform refuses some gateways.
+    @TestFactory
+    fun `an upstream whose entry is removed gets nothing new although gateways are refused`(): List<DynamicTest> =
+        listOf(
+            Removal("a small fleet", smallFleet, SMALL_BOUND_MILLIS),
+            Removal("a large fleet", largeFleet, LARGE_BOUND_MILLIS),
+        ).map { case ->
+            dynamicTest(case.name) {
+                val lags = (1..SEEDS).map { seed -> playRemovals(case, seed) }
+                println("${case.name}: last eligible ${lags.map { it.millis }} ms after its removal, seeds 1 to $SEEDS")
+                val worst = lags.maxBy { it.millis }
+                expectThat(worst.millis).describedAs(worst.description).isLessThanOrEqualTo(case.boundMillis)
+            }
+        }
+
+    private fun playRemovals(case: Removal, seed: Int): Lag {
+        lateinit var worst: Lag
+        runTest {
+            val fleet = SimulatedFleet(case.fleet, this)
+            val random = Random(seed)
+            repeat(REMOVALS) { fleet.platform.write("servers/engine-$it", entry(10)) }
+            fleet.start()
+            advanceTimeBy(SETTLED_MILLIS)
+            val refused = (case.fleet.size * REFUSED_SHARE).toInt()
+            fleet.nodes
+                .shuffled(random)
+                .take(refused)
+                .forEach { it.refused = true }
+            val observer = RemovalObserver(this, fleet)
+            repeat(REMOVALS) {
+                fleet.platform.write("servers/desk", entry(it))
+                advanceTimeBy(random.nextLong(1, REMOVAL_GAP_MILLIS))
+                observer.remove("engine-$it")
+                advanceTimeBy(random.nextLong(1, REMOVAL_GAP_MILLIS))
+            }
+            advanceTimeBy(AFTERWARDS_MILLIS)
+            worst = observer.worst
+        }
+        return worst
+    }
+
+    /** Watches how long each gateway holds upstreams for eligible whose entries were removed. */
+    private class RemovalObserver(private val scope: TestScope, private val fleet: SimulatedFleet) {
+        private val removedAt = HashMap<String, Long>()
+        var worst = Lag(0, "no gateway kept an upstream")
+            private set
+
+        init {
+            scope.backgroundScope.launch {
+                while (true) {
+                    fleet.nodes.forEach(::observe)
+                    delay(OBSERVED_EVERY_MILLIS)
+                }
+            }
+        }
+
+        fun remove(upstream: String) {
+            fleet.platform.write("servers/$upstream", null)
+            removedAt[upstream] = scope.currentTime
+        }
+
+        private fun observe(node: SimulatedFleet.Node) {
+            for (upstream in node.keeper.view.eligible(PoolId("s"))) {
+                val lag = scope.currentTime - (removedAt[upstream.id.value] ?: continue)
+                if (lag >
+                    worst.millis
+                ) {
+                    worst = Lag(lag, "gateway ${node.number}, ${upstream.id}, refused: ${node.refused}")
+                }
+            }
+        }
+    }
+
+    private class Lag(val millis: Long, val description: String)
+
+    private fun play(storm: Storm, seed: Int): Lag {
+        lateinit var worst: Lag
+        runTest {
+            val fleet = SimulatedFleet(storm.fleet, this)
+            val random = Random(seed)
+            fleet.platform.write("servers/first", entry(10))
+            fleet.start()
+            advanceTimeBy(SETTLED_MILLIS)
+            val refused = (storm.fleet.size * storm.refusedShare).toInt()
+            fleet.nodes
+                .shuffled(random)
+                .take(refused)
+                .forEach { it.refused = true }
+            fleet.nodes
+                .shuffled(random)
+                .take(storm.stalling)
+                .forEach { it.stalls = true }
+            val observer = LagObserver(this, fleet)
+            repeat(STORM_CHANGES) {
+                observer.write("servers/engine", entry(storm.valueLength))
+                advanceTimeBy(STORM_GAP_MILLIS)
+            }
+            advanceTimeBy(AFTERWARDS_MILLIS)
+            worst = observer.worst
+        }
+        return worst
+    }
+
+    /** Watches how long each gateway lacks each change that was written. */
+    private class LagObserver(private val scope: TestScope, private val fleet: SimulatedFleet) {
+        private val writtenAt = sortedMapOf<Long, Long>()
+        var worst = Lag(0, "no gateway lacked a change")
+            private set
+
+        init {
+            scope.backgroundScope.launch {
+                while (true) {
+                    fleet.nodes.forEach(::observe)
+                    delay(OBSERVED_EVERY_MILLIS)
+                }
+            }
+        }
+
+        fun write(key: String, value: String?) {
+            writtenAt[fleet.platform.write(key, value)] = scope.currentTime
+        }
+
+        private fun observe(node: SimulatedFleet.Node) {
+            val missing = writtenAt.tailMap(node.keeper.revision + 1).entries.firstOrNull() ?: return
+            val lag = scope.currentTime - missing.value
+            if (lag <= worst.millis) return
+            worst = Lag(lag, "gateway ${node.number}, revision ${missing.key}, refused: ${node.refused}")
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 3
+
+        /** Time in which a fleet that starts gets to know itself. */
+        const val SETTLED_MILLIS = 8_000L
+        const val STORM_CHANGES = 12
+        const val STORM_GAP_MILLIS = 330L
+        const val REMOVALS = 40
+        const val REMOVAL_GAP_MILLIS = 250L
+        const val AFTERWARDS_MILLIS = 6_000L
+        const val OBSERVED_EVERY_MILLIS = 20L
+        const val REFUSED_SHARE = 0.35
+
+        /** A configuration of 300 routes, and one of 1,700. */
+        const val MEDIUM_VALUE = 60_000
+        const val LARGE_VALUE = 350_000
+
+        /** The time that the users' platform gives a change on its large and on its small sites. */
+        const val LARGE_BOUND_MILLIS = 3_000L
+        const val SMALL_BOUND_MILLIS = 2_000L
+
+        /** 10 and 1,000 Mbit/s. */
+        val largeFleet = SimulatedFleetSettings(size = 84, zones = 4, linkBytesPerMilli = 1_250.0)
+        val smallFleet = SimulatedFleetSettings(size = 6, zones = 3, linkBytesPerMilli = 125_000.0)
+    }
+}
+
+/** An entry of an upstream of about [length] characters. */
+internal fun entry(length: Int) =
+    """{"service":"s","address":"10.0.0.9:80","zone":"a","state":"ready","max_batch":9,""" +
+        """"note":"${"x".repeat(length)}"}"""
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
@@ -0,0 +1,251 @@
+/*
+ * A fleet of gateways over datagrams, calls between them and a platform in memory, under virtual time. Links have a
+ * bandwidth, and each of the ways to a gateway or to the platform can be made to fail.
+ */
+package org.primrosesill.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.testTimeSource
+import kotlinx.coroutines.withTimeoutOrNull
+import org.primrosesill.discovery.FeedError
+import org.primrosesill.discovery.PlatformChanges
+import org.primrosesill.discovery.PlatformFeed
+import org.primrosesill.discovery.PlatformItem
+import org.primrosesill.discovery.PlatformListing
+import org.primrosesill.discovery.UpstreamDirectory
+import org.primrosesill.exchange.NewsSource
+import org.primrosesill.forwarding.InboundRequest
+import org.primrosesill.forwarding.OutboundAnswer
+import org.primrosesill.forwarding.OutboundHead
+import org.primrosesill.generated.ExchangeMessage
+import org.primrosesill.generated.Member
+import org.primrosesill.generated.MemberState
+import org.primrosesill.model.AvailabilityZoneId
+import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.RouterId
+import org.primrosesill.placement.PartIndex
+import org.primrosesill.placement.SilentUpstreams
+import org.primrosesill.placement.UpstreamActivity
+import org.primrosesill.placement.UpstreamLoads
+import org.primrosesill.platform.usersPlatform
+import org.primrosesill.request.BodyPart
+import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.RecordingEvents
+import org.primrosesill.request.UpstreamAnswer
+import org.primrosesill.request.UpstreamBody
+import org.primrosesill.request.UpstreamCall
+import org.primrosesill.request.UpstreamClient
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** The platform's items, which a test writes. */
+class SimulatedPlatform {
+    private val items = LinkedHashMap<String, PlatformItem>()
+    private var changed = CompletableDeferred<Unit>()
+    var revision = 0L
+        private set
+
+    /** Calls so far, with those that were refused. */
+    var calls = 0
+
+    /** Writes [value] under [key], or deletes it when it is null, and returns the revision. */
+    fun write(key: String, value: String?): Long {
+        items[key] = PlatformItem(key, ++revision, value)
+        changed.complete(Unit)
+        changed = CompletableDeferred()
+        return revision
+    }
+
+    fun list() = PlatformListing(revision, items.values.filter { it.value != null })
+
+    suspend fun watch(since: Long, wait: Duration): PlatformChanges {
+        if (revision <= since) withTimeoutOrNull(wait) { changed.await() }
+        return PlatformChanges(revision, items.values.filter { it.revision > since })
+    }
+}
+
+/** A link that carries [bytesPerMilli] in each direction, in the order in which bytes come; it is free at [freeAtMillis]. */
+private class SimulatedLink(private val bytesPerMilli: Double) {
+    private var freeAtMillis = 0.0
+
+    /** Returns for how long [bytes] that are sent at [nowMillis] are on their way. */
+    fun carry(bytes: Int, nowMillis: Long): Long {
+        freeAtMillis = maxOf(freeAtMillis, nowMillis.toDouble()) + bytes / bytesPerMilli
+        return (freeAtMillis - nowMillis).toLong()
+    }
+}
+
+/**
+ * Shape of a simulated fleet.
+ *
+ * @property linkBytesPerMilli bandwidth of each gateway's link, or infinite
+ */
+class SimulatedFleetSettings(
+    val size: Int,
+    val zones: Int,
+    val firstStart: Boolean = true,
+    val asksSeeds: Boolean = true,
+    val linkBytesPerMilli: Double = Double.POSITIVE_INFINITY,
+)
+
+/** The gateways of one fleet, started with [start]. */
+internal class SimulatedFleet(
+    private val settings: SimulatedFleetSettings,
+    private val scope: TestScope,
+    val platform: SimulatedPlatform = SimulatedPlatform(),
+) {
+    val nodes = List(settings.size) { Node(it) }
+    private val byAddress = nodes.associateBy { it.self.address }
+
+    fun start() = nodes.forEach { it.start() }
+
+    inner class Node(val number: Int) : UpstreamClient {
+        val self =
+            Member(
+                RouterId("%012x".format(number)),
+                "10.0.${number / 200}.${number % 200}:80",
+                AvailabilityZoneId("z${number % settings.zones}"),
+                0,
+                1,
+                MemberState.LIVE,
+            )
+        val events = RecordingEvents()
+
+        /** Whether the platform turns this gateway away. */
+        var refused = false
+
+        /** Whether this gateway falls silent in the middle of each answer to another gateway. */
+        var stalls = false
+
+        /** Whether datagrams reach this gateway. */
+        var hearsDatagrams = true
+        private val up = SimulatedLink(settings.linkBytesPerMilli)
+        private val down = SimulatedLink(settings.linkBytesPerMilli)
+        private val activity = UpstreamActivity { scope.currentTime }
+        private val news =
+            TrafficNews(
+                UpstreamLoads(activity) { scope.currentTime },
+                PartIndex { scope.currentTime },
+                SilentUpstreams("self", activity) { scope.currentTime },
+            )
+        private val seeds = List(SEEDS) { "10.0.0.$it:80" }.toSet()
+        private val duty =
+            StartDuty(self.router, self.address in seeds, settings.asksSeeds, settings.firstStart, startedAtMillis = 0)
+        private val fleet = Fleet(self, seeds - self.address, news, events, 0, duty, Random(number))
+        val keeper: DirectoryKeeper =
+            DirectoryKeeper(UpstreamDirectory(usersPlatform().itemDecoder), events, { scope.currentTime }, {}) {
+                loop.announce(NewsSource.PLATFORM)
+            }
+        val loop: ExchangeLoop =
+            ExchangeLoop(
+                scope.backgroundScope,
+                fleet,
+                news,
+                keeper,
+                PeerClient(this),
+                events,
+                { scope.currentTime },
+            ) { addresses, message -> addresses.forEach { deliver(it, message) } }
+        private val handler = PeerHandler(loop, news, StandardTestDispatcher(scope.testScheduler))
+        private val feed = Feed(this)
+
+        fun start() {
+            val platformLoop = PlatformLoop(feed, keeper) { fleet.reads(keeper.ageMillis, scope.currentTime) }
+            scope.backgroundScope.launch { platformLoop.run() }
+            scope.backgroundScope.launch { loop.run() }
+            scope.backgroundScope.launch {
+                while (true) {
+                    keeper.tick()
+                    fleet.tick(scope.currentTime)
+                    loop.tick()
+                    delay(TICK_MILLIS)
+                }
+            }
+        }
+
+        /** Calls another gateway over the links of both. */
+        override suspend fun <T> exchange(call: UpstreamCall, use: suspend (UpstreamAnswer) -> T): ExchangeResult<T> {
+            val peer = byAddress.getValue(call.address)
+            delay(LATENCY_MILLIS)
+            val answer = CapturedAnswer()
+            peer.handler.handle(request(call), answer)
+            val received = UpstreamAnswer(answer.head.status, answer.head.headers, body = body(peer, answer.body))
+            return ExchangeResult.Answered(use(received))
+        }
+
+        private fun request(call: UpstreamCall) =
+            InboundRequest(call.method, call.path, call.headers, ByteArray(0), scope.testTimeSource.markNow())
+
+        private fun body(from: Node, bytes: ByteArray): UpstreamBody {
+            var sent = 0
+            return UpstreamBody {
+                if (from.stalls && sent > 0) awaitCancellation()
+                if (sent == bytes.size) return@UpstreamBody BodyPart.End
+                val part = bytes.copyOfRange(sent, minOf(sent + CHUNK_BYTES, bytes.size))
+                sent += part.size
+                delay(transfer(from, this, part.size))
+                BodyPart.Bytes(part)
+            }
+        }
+
+        private fun deliver(address: String, message: ExchangeMessage) {
+            val peer = byAddress[address] ?: return
+            scope.backgroundScope.launch {
+                delay(LATENCY_MILLIS)
+                if (peer.hearsDatagrams) peer.loop.receive(message)
+            }
+        }
+
+        private fun transfer(from: Node, to: Node, bytes: Int): Long =
+            maxOf(from.up.carry(bytes, scope.currentTime), to.down.carry(bytes, scope.currentTime))
+    }
+
+    private inner class Feed(private val node: Node) : PlatformFeed {
+        override suspend fun list(): Either<FeedError, PlatformListing> = answer { platform.list() }
+
+        override suspend fun watch(revision: Long, wait: Duration): Either<FeedError, PlatformChanges> =
+            answer { platform.watch(revision, wait) }
+
+        private suspend fun <T> answer(read: suspend () -> T): Either<FeedError, T> {
+            platform.calls++
+            delay(LATENCY_MILLIS)
+            return if (node.refused) FeedError.Unavailable("status 503").left() else read().right()
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 3
+        const val LATENCY_MILLIS = 2L
+        const val TICK_MILLIS = 400L
+        const val CHUNK_BYTES = 16 * 1024
+    }
+}
+
+/** Keeps an answer that is given in one piece. */
+private class CapturedAnswer : OutboundAnswer {
+    var head = OutboundHead(0)
+    var body = ByteArray(0)
+    override val started get() = head.status != 0
+
+    override suspend fun respond(head: OutboundHead, body: ByteArray) {
+        this.head = head
+        this.body = body
+    }
+
+    override suspend fun start(head: OutboundHead) = error("a peer answers in one piece")
+
+    override suspend fun write(bytes: ByteArray) = error("a peer answers in one piece")
+
+    override suspend fun finish() = error("a peer answers in one piece")
+
+    override fun abort() = error("a peer answers")
+}
