Take the platform for away only when it answers nobody

Upstreams that had left without a word got requests for 2.0 to 2.4 s after their entry was removed, 2.0 allowed on small sites.

Cause: entries lapse while the platform is away, so that a removal within two seconds of its return is put off. A gateway that the platform turned away passed on changes with the word that the platform does not answer, and each gateway that heard it believed it over its own answers; a gateway also took its own failure for an outage. The fault belongs to the class of one node's failure to reach a service that is taken for the failure of the service.

Change: PlatformReachability holds since when the platform has answered somebody without a break of two seconds, from own answers, the ages in gossip and what peers were answered. A peer that knows nothing changes nothing. A removal that was put off comes into force when a peer was answered all the while.

Evidence: UpstreamDirectoryTest, a removal is put off only when the platform was away for all; its case of a refused peer kept the upstream before.

--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -48,8 +48,8 @@
     private val changes = ArrayList<DirectoryChange>()
     private var configuration: ServingConfiguration? = null
 
-    /** When the platform answered again after it had not, or null while it does not answer. */
-    private var reachableSinceMillis: Long? = null
+    /** What this router and others know of the platform. */
+    public val reachability: PlatformReachability = PlatformReachability()
 
     /** Up to this revision nothing is missing. */
     public var revision: Long = 0
@@ -68,35 +68,27 @@
     /** Takes the changes that follow [since]. Changes that leave a gap count, but do not move [revision]. */
     public fun applyChanges(since: Long, page: PlatformChanges, nowMillis: Long): List<DirectoryChange> {
         page.items.forEach { apply(it, nowMillis) }
+        removeLapsed(nowMillis)
         if (since <= revision) revision = maxOf(revision, page.revision)
         return taken()
     }
 
-    /** Records that the platform answered. */
-    public fun platformAnswered(nowMillis: Long) {
-        if (reachableSinceMillis == null) reachableSinceMillis = nowMillis
-    }
-
-    /** Takes from a peer since when the platform answers it, or null when it does not. */
-    public fun platformAnswersPeer(sinceMillis: Long?) {
-        reachableSinceMillis = sinceMillis
-    }
-
-    /** How long the platform has answered without a break, or null when it does not. */
-    public fun platformReachableFor(nowMillis: Long): Long? = reachableSinceMillis?.let { nowMillis - it }
-
-    /** Records that the platform did not answer. */
-    public fun platformFailed() {
-        reachableSinceMillis = null
-    }
-
     /** Drops upstreams whose entries have not come back in time. */
     public fun tick(nowMillis: Long): List<DirectoryChange> {
-        val due = upstreams.values.filter { entry -> entry.goneAtMillis?.let { it <= nowMillis } == true }
-        due.forEach { remove(it.registration.id, "its entry did not come back") }
+        removeLapsed(nowMillis)
         return taken()
     }
 
+    /** A peer may have told since that the platform was not away when an entry was removed. */
+    private fun removeLapsed(nowMillis: Long) {
+        val since = reachability.since(nowMillis)
+        for (entry in upstreams.values.toList()) {
+            val goneAt = entry.goneAtMillis ?: continue
+            val earliest = if (since == null) goneAt else minOf(goneAt, since + settings.returnMillis)
+            if (earliest <= nowMillis) remove(entry.registration.id, "its entry did not come back")
+        }
+    }
+
     /** The items that changed after [since], for a peer that lacks them. */
     public fun itemsAfter(since: Long): List<PlatformItem> = items.values.filter { it.revision > since }
 
@@ -165,7 +157,7 @@
     /** While the platform is away, entries of live upstreams lapse; they get some time to come back. */
     private fun withdraw(upstream: UpstreamId, nowMillis: Long) {
         val entry = upstreams[upstream] ?: return
-        val since = reachableSinceMillis
+        val since = reachability.since(nowMillis)
         val goneAt = (since ?: nowMillis) + settings.returnMillis
         if (entry.registration.draining || (since != null && goneAt <= nowMillis)) {
             remove(upstream, "its entry was removed")
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryKeeper.kt
@@ -48,7 +48,11 @@
     /** Why the platform did not answer this gateway when it asked last, or null when it did. */
     val platformFailure: String? get() = platformError
 
-    val platformReachableMillis: Long? get() = directory.platformReachableFor(nowMillis())
+    /** For how long the platform has answered without a break, or null when it does not seem to answer. */
+    val platformReachableMillis: Long? get() = directory.reachability.since(nowMillis())?.let { nowMillis() - it }
+
+    /** How long ago the platform answered this gateway or another one, or null when that was never heard. */
+    val platformAnsweredAgoMillis: Long? get() = directory.reachability.answeredAgo(nowMillis())
 
     fun itemsAfter(revision: Long): List<PlatformItem> = directory.itemsAfter(revision)
 
@@ -67,18 +71,25 @@
     }
 
     /** Takes the items that a peer has passed on. */
-    fun takeFromPeer(since: Long, changes: PlatformChanges, reachableMillis: Long?, source: String) {
-        directory.platformAnswersPeer(reachableMillis?.let { nowMillis() - it })
+    fun takeFromPeer(since: Long, changes: PlatformChanges, source: String) =
         publish(directory.applyChanges(since, changes, nowMillis()), source)
+
+    /** Takes from a peer that the platform has answered for [reachableMillis], the last time [answeredAgoMillis] ago. */
+    fun takeReachability(reachableMillis: Long, answeredAgoMillis: Long) {
+        val now = nowMillis()
+        directory.reachability.answeredOthers(now - reachableMillis, now - answeredAgoMillis)
     }
 
     /** Takes what a peer knows of the age of a view. */
-    fun takeAge(peerRevision: Long, ageMillis: Long) = freshness.accept(peerRevision, revision, ageMillis, nowMillis())
+    fun takeAge(peerRevision: Long, ageMillis: Long) {
+        freshness.accept(peerRevision, revision, ageMillis, nowMillis())
+        if (ageMillis >= 0) directory.reachability.answeredAt(nowMillis() - ageMillis)
+    }
 
     fun tick() = publish(directory.tick(nowMillis()), "the clock")
 
     fun platformAnswered() {
-        directory.platformAnswered(nowMillis())
+        directory.reachability.answered(nowMillis())
         freshness.prove(nowMillis())
         if (platformError == null) return
         platformError = null
@@ -86,7 +97,7 @@
     }
 
     fun platformFailed(error: FeedError) {
-        directory.platformFailed()
+        directory.reachability.failed(nowMillis())
         if (platformError == error.toString()) return
         platformError = error.toString()
         events.record(EventType.PLATFORM_LOST, error.toString())
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -128,6 +128,7 @@
             revision = keeper.revision,
             items = keeper.itemsAfter(revision).map { RelayedItem(it.key, it.revision, it.value) },
             reachableMillis = keeper.platformReachableMillis ?: -1,
+            answeredAgoMillis = keeper.platformAnsweredAgoMillis ?: -1,
         )
 
     /** Takes the changes in [message] if they follow on what this gateway knows. */
@@ -139,8 +140,11 @@
     private fun takeItems(peer: Member, since: Long, page: RelayedItems) {
         val before = keeper.revision
         val items = page.items.map { PlatformItem(it.key, it.revision, it.value) }
-        val reachable = page.reachableMillis.takeIf { it >= 0 }
-        keeper.takeFromPeer(since, PlatformChanges(page.revision, items), reachable, "gateway ${peer.address}")
+        // A peer that the platform turns away may know nothing of it, which does not mean that the platform is away.
+        if (page.reachableMillis >= 0 && page.answeredAgoMillis >= 0) {
+            keeper.takeReachability(page.reachableMillis, page.answeredAgoMillis)
+        }
+        keeper.takeFromPeer(since, PlatformChanges(page.revision, items), "gateway ${peer.address}")
         if (keeper.revision > before) announce(fleet.sourceOf(peer))
     }
 
--- a/src/test/kotlin/org/primrosesill/discovery/UpstreamDirectoryTest.kt
+++ b/src/test/kotlin/org/primrosesill/discovery/UpstreamDirectoryTest.kt
@@ -5,7 +5,6 @@
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.forwarding.configuration
@@ -62,15 +61,19 @@
 private fun item(key: String, revision: Long, value: String?) = PlatformItem(key, revision, value)
 
 class UpstreamDirectoryTest {
-    private val directory = UpstreamDirectory(TextDecoder)
+    private var directory = UpstreamDirectory(TextDecoder)
 
     private fun eligible() = directory.view().eligible(desk).map { it.id.value }
 
     private fun list(revision: Long, vararg items: PlatformItem, at: Long = 0) {
-        directory.platformAnswered(at)
+        directory.reachability.answered(at)
         directory.applyListing(PlatformListing(revision, items.toList()), at)
     }
 
+    /** The platform answers each second from [fromMillis] to [untilMillis]. */
+    private fun answered(fromMillis: Long, untilMillis: Long) =
+        (fromMillis..untilMillis step 1_000).forEach { directory.reachability.answered(it) }
+
     private fun change(vararg items: PlatformItem, at: Long = 0) =
         directory.applyChanges(directory.revision, PlatformChanges(items.maxOf { it.revision }, items.toList()), at)
 
@@ -99,6 +102,7 @@
     fun `an upstream is used from its entry until it drains or vanishes`() {
         list(1, item("up/1", 1, "ready"), at = 0)
         expectThat(eligible()).isEqualTo(listOf("1"))
+        answered(1_000, 10_000)
         change(item("up/1", 2, "draining"), at = 10_000)
         expectThat(eligible()).isEqualTo(emptyList())
         change(item("up/2", 3, "ready"), at = 10_000)
@@ -110,8 +114,8 @@
     @Test
     fun `entries that lapsed while the platform was away have time to come back`() {
         list(2, item("up/1", 1, "ready"), item("up/2", 2, "ready"))
-        directory.platformFailed()
-        directory.platformAnswered(20_000)
+        directory.reachability.failed(1_000)
+        directory.reachability.answered(20_000)
         change(item("up/1", 3, null), item("up/2", 4, null), at = 20_000)
         directory.tick(21_500)
         expectThat(eligible().sorted()).isEqualTo(listOf("1", "2"))
@@ -120,16 +124,58 @@
         expectThat(eligible()).isEqualTo(listOf("1"))
     }
 
-    // Guards against an upstream that left and gets requests for two seconds more, since a peer that the platform refuses
-    // said that the platform is away.
-    @Tag("known-red")
+    private class Outage(val name: String, val known: (PlatformReachability) -> Unit, val keepsIt: Boolean)
+
+    // Guards against an upstream that left and gets requests for two seconds more, since this gateway or a peer was turned
+    // away by the platform, and against losing upstreams whose entries lapsed in an outage.
+    @TestFactory
+    fun `a removal is put off only when the platform was away for all`(): List<DynamicTest> =
+        listOf(
+            Outage("it answers this gateway", { known -> answersFrom(known, 0) }, keepsIt = false),
+            Outage("it refuses this gateway and answers others", { known ->
+                answersFrom(known, 0, until = 5_000)
+                known.failed(5_500)
+                (5_000L..9_500L step 500).forEach { known.answeredAt(it) }
+            }, keepsIt = false),
+            Outage("it was away for a short time", { known ->
+                answersFrom(known, 0, until = 8_000)
+                known.failed(8_100)
+            }, keepsIt = true),
+            Outage(
+                "it was away, and nobody asked it",
+                { known -> answersFrom(known, 0, until = 6_000) },
+                keepsIt = true,
+            ),
+            Outage("a peer was answered all the while", { known -> known.answeredOthers(0, 9_900) }, keepsIt = false),
+            Outage("a peer was answered before it was away", { known ->
+                known.answered(9_900)
+                known.answeredOthers(0, 6_000)
+            }, keepsIt = true),
+        ).map { case ->
+            dynamicTest(case.name) {
+                directory = UpstreamDirectory(TextDecoder)
+                list(2, item("up/1", 1, "ready"), item("up/2", 2, "ready"))
+                case.known(directory.reachability)
+                directory.reachability.answered(10_000)
+                change(item("up/1", 3, null), at = 10_000)
+                expectThat(eligible().sorted()).isEqualTo(if (case.keepsIt) listOf("1", "2") else listOf("2"))
+                directory.tick(12_000)
+                expectThat(eligible()).isEqualTo(listOf("2"))
+            }
+        }
+
+    private fun answersFrom(known: PlatformReachability, from: Long, until: Long = 9_500) =
+        (from..until step 500).forEach { known.answered(it) }
+
+    // Guards against an upstream that is kept although a peer says that the platform was not away when its entry went.
     @Test
-    fun `a peer that the platform refuses does not put off a removal`() {
+    fun `a peer that was answered all the while ends the wait for an entry`() {
         list(2, item("up/1", 1, "ready"), item("up/2", 2, "ready"))
-        directory.platformAnswered(9_900)
-        directory.platformAnswersPeer(null)
-        directory.platformAnswered(10_000)
+        directory.reachability.answered(10_000)
         change(item("up/1", 3, null), at = 10_000)
+        expectThat(eligible().sorted()).isEqualTo(listOf("1", "2"))
+        directory.reachability.answeredOthers(1_000, 10_050)
+        change(item("up/2", 4, "ready"), at = 10_100)
         expectThat(eligible()).isEqualTo(listOf("2"))
     }
 
@@ -137,6 +183,7 @@
     @Test
     fun `what a listing lacks is gone`() {
         list(2, item("up/1", 1, "ready"), item("up/2", 2, "ready"))
+        answered(1_000, 10_000)
         directory.applyListing(PlatformListing(9, listOf(item("up/1", 1, "ready"))), 10_000)
         expectThat(eligible()).isEqualTo(listOf("1"))
     }
@@ -163,6 +210,7 @@
     @Test
     fun `an entry that cannot be read names no upstream`() {
         list(1, item("up/1", 1, "ready"), item("up/2", 1, "ready"))
+        answered(1_000, 10_000)
         change(item("up/1", 2, "garbage"), at = 10_000)
         expectThat(eligible()).isEqualTo(listOf("2"))
     }
