Ask the platform when a known change does not come from peers for a second

A gateway that hears of a revision and cannot fetch it asked the platform only when its view was 1.8 to 2.7 s old, which leaves little of the 3 s that a change has.

Change: being behind for more than a second is a reason to read the platform as well.

--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -40,13 +40,16 @@
             client,
             events,
             nowMillis,
-            reads = { fleet.reads(keeper.ageMillis, nowMillis()) },
+            reads = ::readsPlatform,
             take = ::takeItems,
         )
 
     /** How long this gateway has known of a revision that it lacks, or 0. */
     val behindMillis: Long get() = catchUp.behindMillis
 
+    /** Whether this gateway asks the platform itself. */
+    fun readsPlatform(): Boolean = fleet.reads(keeper.ageMillis, behindMillis, nowMillis())
+
     /** Starts a round after the other. */
     suspend fun run(): Nothing {
         while (true) {
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -94,10 +94,10 @@
 
     private fun isSmall() = members.live().size <= SMALL_FLEET
 
-    /** Whether this gateway asks the platform, when its view is [ageMillis] old. */
-    fun reads(ageMillis: Long?, nowMillis: Long): Boolean =
+    /** Whether this gateway asks the platform, when its view is [ageMillis] old and it is behind for [behindMillis]. */
+    fun reads(ageMillis: Long?, behindMillis: Long, nowMillis: Long): Boolean =
         (isKnown || !startDuty.leavesItToOthers(ageMillis, nowMillis)) &&
-            readsPlatform(members.self(), members.live(), ageMillis)
+            readsPlatform(members.self(), members.live(), ageMillis, behindMillis)
 
     /** Takes the message of a peer. */
     fun take(message: ExchangeMessage, nowMillis: Long) {
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayParts.kt
@@ -115,9 +115,7 @@
     val exchange: ExchangeLoop =
         ExchangeLoop(controlScope, fleet, news, keeper, peers, events, ::steadyMillis, gossip::send)
     val platformLoop =
-        PlatformLoop(adapter.feed(settings.platformAddress, client), keeper) {
-            fleet.reads(keeper.ageMillis, steadyMillis())
-        }
+        PlatformLoop(adapter.feed(settings.platformAddress, client), keeper, exchange::readsPlatform)
     val peerHandler = PeerHandler(exchange, news, control.dispatcher)
     val heldPartsLoop =
         HeldPartsLoop(settings.firstStart, keeper, fleet, peers, news, events, exchange::startRound) {
--- a/src/main/kotlin/org/primrosesill/gateway/ReaderDuty.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ReaderDuty.kt
@@ -20,6 +20,9 @@
 private const val LAST_READER_MILLIS = 300L
 private const val NEXT_READER_MILLIS = 60L
 
+/** A gateway that knows of a change which it cannot get from its peers for this time asks the platform. */
+private const val BEHIND_MILLIS = 1_000L
+
 /** In a large fleet evidence takes longer to get around, and news arrives on many ways. */
 internal const val LARGE_FLEET_AGE_MILLIS = 1_800L
 private const val LARGE_FLEET_LAST_READER_MILLIS = 900L
@@ -29,9 +32,10 @@
  *
  * @param live all gateways that are alive, with [self]
  * @param ageMillis how long ago the view of [self] was the newest one, or null when that was never seen
+ * @param behindMillis how long [self] has known of a revision that it lacks, or 0
  */
-internal fun readsPlatform(self: Member, live: List<Member>, ageMillis: Long?): Boolean {
-    if (ageMillis == null) return true
+internal fun readsPlatform(self: Member, live: List<Member>, ageMillis: Long?, behindMillis: Long = 0): Boolean {
+    if (ageMillis == null || behindMillis > BEHIND_MILLIS) return true
     // A gateway that is leaving may be gone before others notice.
     val staying = live.filter { it.state == MemberState.LIVE }
     val zones = staying.map { it.availabilityZone }.distinct().size
--- a/src/test/kotlin/org/primrosesill/gateway/LateChangesTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/LateChangesTest.kt
@@ -22,6 +22,7 @@
      * @property valueLength characters of each change
      * @property refusedShare part of the gateways that the platform turns away
      * @property stalling how many gateways fall silent in the middle of each answer to another one
+     * @property alone how many gateways cannot call any other one
      */
     private class Storm(
         val name: String,
@@ -30,6 +31,7 @@
         val boundMillis: Long,
         val refusedShare: Double = 0.0,
         val stalling: Int = 0,
+        val alone: Int = 0,
     )
 
     // Guards against configurations that gateways have seconds late in a storm of them.
@@ -57,6 +59,14 @@
             Storm("a small fleet", smallFleet, LARGE_VALUE, SMALL_BOUND_MILLIS, REFUSED_SHARE, stalling = 1),
         ).map(::testOf)
 
+    // Guards against a gateway that knows for seconds of a change that no peer can give it, and does not ask the platform.
+    @TestFactory
+    fun `changes reach gateways that cannot call others`(): List<DynamicTest> =
+        listOf(
+            Storm("a large fleet", largeFleet, MEDIUM_VALUE, LARGE_BOUND_MILLIS, alone = 20),
+            Storm("a small fleet", smallFleet, LARGE_VALUE, SMALL_BOUND_MILLIS, alone = 2),
+        ).map(::testOf)
+
     private fun testOf(storm: Storm): DynamicTest =
         dynamicTest(storm.name) {
             val lags = (1..SEEDS).map { seed -> play(storm, seed) }
@@ -159,6 +169,10 @@
                 .shuffled(random)
                 .take(storm.stalling)
                 .forEach { it.stalls = true }
+            fleet.nodes
+                .shuffled(random)
+                .take(storm.alone)
+                .forEach { it.callsFail = true }
             val observer = LagObserver(this, fleet)
             repeat(STORM_CHANGES) {
                 observer.write("servers/engine", entry(storm.valueLength))
--- a/src/test/kotlin/org/primrosesill/gateway/ReaderDutyTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ReaderDutyTest.kt
@@ -79,6 +79,19 @@
         expectThat(live.count { readsPlatform(it, live, ageMillis = null) }).isEqualTo(84)
     }
 
+    private class Behind(val size: Int, val behindMillis: Long, val readers: Int)
+
+    // Guards against a gateway that knows of a change for long, cannot get it from its peers, and does not ask the platform.
+    @TestFactory
+    fun `a gateway that is behind for a second reads`(): List<DynamicTest> =
+        listOf(Behind(6, 1_000, 3), Behind(6, 1_001, 6), Behind(84, 1_000, 3), Behind(84, 1_001, 84)).map { case ->
+            dynamicTest("${case.size} gateways, behind for ${case.behindMillis} ms") {
+                val live = fleet(case.size, 3)
+                val reading = live.count { readsPlatform(it, live, ageMillis = 0, case.behindMillis) }
+                expectThat(reading).isEqualTo(case.readers)
+            }
+        }
+
     // Guards against evidence of an older or a newer state than the own one.
     @TestFactory
     fun `evidence counts for views that are not newer than the own one`(): List<DynamicTest> =
--- a/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
@@ -126,8 +126,8 @@
         /** Whether this gateway falls silent in the middle of each answer to another gateway. */
         var stalls = false
 
-        /** Whether datagrams reach this gateway. */
-        var hearsDatagrams = true
+        /** Whether calls of this gateway to others fail. */
+        var callsFail = false
         private val up = SimulatedLink(settings.linkBytesPerMilli)
         private val down = SimulatedLink(settings.linkBytesPerMilli)
         private val activity = UpstreamActivity { scope.currentTime }
@@ -159,7 +159,7 @@
         private val feed = Feed(this)
 
         fun start() {
-            val platformLoop = PlatformLoop(feed, keeper) { fleet.reads(keeper.ageMillis, scope.currentTime) }
+            val platformLoop = PlatformLoop(feed, keeper, loop::readsPlatform)
             scope.backgroundScope.launch { platformLoop.run() }
             scope.backgroundScope.launch { loop.run() }
             scope.backgroundScope.launch {
@@ -176,6 +176,7 @@
         override suspend fun <T> exchange(call: UpstreamCall, use: suspend (UpstreamAnswer) -> T): ExchangeResult<T> {
             val peer = byAddress.getValue(call.address)
             delay(LATENCY_MILLIS)
+            if (callsFail) return ExchangeResult.NotSent("no route to ${call.address}")
             val answer = CapturedAnswer()
             peer.handler.handle(request(call), answer)
             val received = UpstreamAnswer(answer.head.status, answer.head.headers, body = body(peer, answer.body))
@@ -201,7 +202,7 @@
             val peer = byAddress[address] ?: return
             scope.backgroundScope.launch {
                 delay(LATENCY_MILLIS)
-                if (peer.hearsDatagrams) peer.loop.receive(message)
+                peer.loop.receive(message)
             }
         }
 
