--- a/src/test/kotlin/org/primrosesill/gateway/LateChangesTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/LateChangesTest.kt
@@ -101,15 +101,23 @@
             fleet.start()
             advanceTimeBy(SETTLED_MILLIS)
             val refused = (case.fleet.size * REFUSED_SHARE).toInt()
-            fleet.nodes
-                .shuffled(random)
-                .take(refused)
-                .forEach { it.refused = true }
-            val observer = RemovalObserver(this, fleet)
+            fleet.some(refused, random).forEach { it.refused = true }
+            val removedAt = HashMap<String, Long>()
+            val observer =
+                LagObserver(this, fleet) { node ->
+                    val kept =
+                        node.keeper.view
+                            .eligible(PoolId("s"))
+                            .filter { it.id.value in removedAt }
+                    kept
+                        .minByOrNull { removedAt.getValue(it.id.value) }
+                        ?.let { lagOf(node, removedAt.getValue(it.id.value), "keeps ${it.id}") }
+                }
             repeat(REMOVALS) {
                 fleet.platform.write("servers/desk", entry(it))
                 advanceTimeBy(random.nextLong(1, REMOVAL_GAP_MILLIS))
-                observer.remove("engine-$it")
+                fleet.platform.write("servers/engine-$it", null)
+                removedAt["engine-$it"] = currentTime
                 advanceTimeBy(random.nextLong(1, REMOVAL_GAP_MILLIS))
             }
             advanceTimeBy(AFTERWARDS_MILLIS)
@@ -118,40 +126,11 @@
         return worst
     }
 
-    /** Watches how long each gateway holds upstreams for eligible whose entries were removed. */
-    private class RemovalObserver(private val scope: TestScope, private val fleet: SimulatedFleet) {
-        private val removedAt = HashMap<String, Long>()
-        var worst = Lag(0, "no gateway kept an upstream")
-            private set
-
-        init {
-            scope.backgroundScope.launch {
-                while (true) {
-                    fleet.nodes.forEach(::observe)
-                    delay(OBSERVED_EVERY_MILLIS)
-                }
-            }
-        }
-
-        fun remove(upstream: String) {
-            fleet.platform.write("servers/$upstream", null)
-            removedAt[upstream] = scope.currentTime
-        }
-
-        private fun observe(node: SimulatedFleet.Node) {
-            for (upstream in node.keeper.view.eligible(PoolId("s"))) {
-                val lag = scope.currentTime - (removedAt[upstream.id.value] ?: continue)
-                if (lag >
-                    worst.millis
-                ) {
-                    worst = Lag(lag, "gateway ${node.number}, ${upstream.id}, refused: ${node.refused}")
-                }
-            }
-        }
-    }
-
     private class Lag(val millis: Long, val description: String)
 
+    private fun TestScope.lagOf(node: SimulatedFleet.Node, sinceMillis: Long, what: String) =
+        Lag(currentTime - sinceMillis, "gateway ${node.number}, refused: ${node.refused}, $what")
+
     private fun play(storm: Storm, seed: Int): Lag {
         lateinit var worst: Lag
         runTest {
@@ -161,21 +140,17 @@
             fleet.start()
             advanceTimeBy(SETTLED_MILLIS)
             val refused = (storm.fleet.size * storm.refusedShare).toInt()
-            fleet.nodes
-                .shuffled(random)
-                .take(refused)
-                .forEach { it.refused = true }
-            fleet.nodes
-                .shuffled(random)
-                .take(storm.stalling)
-                .forEach { it.stalls = true }
-            fleet.nodes
-                .shuffled(random)
-                .take(storm.alone)
-                .forEach { it.callsFail = true }
-            val observer = LagObserver(this, fleet)
+            fleet.some(refused, random).forEach { it.refused = true }
+            fleet.some(storm.stalling, random).forEach { it.stalls = true }
+            fleet.some(storm.alone, random).forEach { it.callsFail = true }
+            val writtenAt = sortedMapOf<Long, Long>()
+            val observer =
+                LagObserver(this, fleet) { node ->
+                    val missing = writtenAt.tailMap(node.keeper.revision + 1).entries.firstOrNull()
+                    missing?.let { lagOf(node, it.value, "lacks revision ${it.key}") }
+                }
             repeat(STORM_CHANGES) {
-                observer.write("servers/engine", entry(storm.valueLength))
+                writtenAt[fleet.platform.write("servers/engine", entry(storm.valueLength))] = currentTime
                 advanceTimeBy(STORM_GAP_MILLIS)
             }
             advanceTimeBy(AFTERWARDS_MILLIS)
@@ -184,31 +159,23 @@
         return worst
     }
 
-    /** Watches how long each gateway lacks each change that was written. */
-    private class LagObserver(private val scope: TestScope, private val fleet: SimulatedFleet) {
-        private val writtenAt = sortedMapOf<Long, Long>()
-        var worst = Lag(0, "no gateway lacked a change")
+    /** Watches all gateways, and keeps the longest lag that [lagOf] finds. */
+    private class LagObserver(
+        scope: TestScope,
+        fleet: SimulatedFleet,
+        private val lagOf: (SimulatedFleet.Node) -> Lag?,
+    ) {
+        var worst = Lag(0, "no gateway was late")
             private set
 
         init {
             scope.backgroundScope.launch {
                 while (true) {
-                    fleet.nodes.forEach(::observe)
+                    fleet.nodes.mapNotNull(lagOf).forEach { if (it.millis > worst.millis) worst = it }
                     delay(OBSERVED_EVERY_MILLIS)
                 }
             }
         }
-
-        fun write(key: String, value: String?) {
-            writtenAt[fleet.platform.write(key, value)] = scope.currentTime
-        }
-
-        private fun observe(node: SimulatedFleet.Node) {
-            val missing = writtenAt.tailMap(node.keeper.revision + 1).entries.firstOrNull() ?: return
-            val lag = scope.currentTime - missing.value
-            if (lag <= worst.millis) return
-            worst = Lag(lag, "gateway ${node.number}, revision ${missing.key}, refused: ${node.refused}")
-        }
     }
 
     private companion object {
--- a/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
@@ -108,6 +108,9 @@
 
     fun start() = nodes.forEach { it.start() }
 
+    /** Returns [count] gateways by chance. */
+    fun some(count: Int, random: Random): List<Node> = nodes.shuffled(random).take(count)
+
     inner class Node(val number: Int) : UpstreamClient {
         val self =
             Member(
