Take ports of tests from below the range of outgoing connections

Suspected cause: a port was found by binding port 0 and closing it, so that it lay in the range from which outgoing connections take theirs; gateways of the same fixture connect to their store and peers before the next one binds. ProcessSite used a copy of the old function.

--- a/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
+++ b/src/test/kotlin/org/primrosesill/platform/GatewayFixture.kt
@@ -19,8 +19,8 @@
 import org.primrosesill.request.RecordingEvents
 import org.primrosesill.request.UpstreamCall
 import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.freePort
 import org.primrosesill.transport.nettyUpstreamClient
-import java.net.ServerSocket
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -34,7 +34,7 @@
 data class CallerAnswer(val status: Int, val body: String, val whole: Boolean, val sent: Boolean = true)
 
 /** An address on loopback that was free a moment ago. */
-internal fun freeAddress(): String = "127.0.0.1:${ServerSocket(0).use { it.localPort }}"
+internal fun freeAddress(): String = "127.0.0.1:${freePort()}"
 
 /** A request to the gateway at [gateway] in the order of their start. */
 data class CallerRequest(
@@ -167,7 +167,7 @@
     }
 
     private companion object {
-        val GOSSIP_PORT = ServerSocket(0).use { it.localPort }
+        val GOSSIP_PORT = freePort()
     }
 }
 
--- a/src/test/kotlin/org/primrosesill/process/ProcessSite.kt
+++ b/src/test/kotlin/org/primrosesill/process/ProcessSite.kt
@@ -24,8 +24,8 @@
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.PoolId
 import org.primrosesill.model.VmId
+import org.primrosesill.transport.freePort
 import java.io.File
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -272,8 +272,6 @@
     }
 
     private companion object {
-        fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
         fun uri(port: Int, path: String) = URI("http://127.0.0.1:$port$path")
 
         fun sha256(text: String) =
