--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -47,7 +47,7 @@
             chosen.upstream,
             source,
             prefillTokens,
-            explanationOf(prompt, chosen, source, engines, cachedTokens),
+            explanationOf(prompt, chosen, source, engines, cachedTokens, bound),
         )
     }
 
@@ -57,13 +57,19 @@
         source: KnownUpstream?,
         engines: List<EngineCandidate>,
         cachedTokens: Map<UpstreamId, Int>,
+        bound: Double,
     ): String {
         val sourceText = source?.let { ", ${it.id} can supply ${cachedTokens[it.id] ?: 0}" }.orEmpty()
         val total = engines.sumOf { it.inFlight }
         return "has cached ${chosen.cachedTokens} of ${prompt.promptTokens} prompt tokens$sourceText, " +
             "highest on any engine ${cachedTokens.values.maxOrNull() ?: 0}, " +
             "last shared part ${prompt.sharedParts.lastOrNull()?.id}; " +
-            "${chosen.inFlight} in flight, $total on ${engines.size} candidate engines"
+            "${loads.explainedEstimate(chosen.upstream.id).description}, load bound ${bound.toInt()}, " +
+            "${engines.count {
+                it.isBelow(
+                    bound,
+                )
+            }} of ${engines.size} candidate engines below it, $total on all of them"
     }
 
     /** Returns whether [prompt] has shared parts and no engine has cached all of them. */
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -12,6 +12,29 @@
 /** The load that an upstream reported, and how long ago. */
 public data class LoadObservation(public val upstream: UpstreamId, public val load: Int, public val ageMillis: Long)
 
+/** Where the estimate of an upstream's load comes from. */
+public enum class LoadSource(public val text: String) {
+    /** The counts that all routers of a small fleet exchange. */
+    EXCHANGED_COUNTS("counted by all routers"),
+
+    /** The last report of the upstream, plus the requests that this router has sent since. */
+    REPORT("reported"),
+
+    /** The requests of this router only, as there is no recent report. */
+    OWN_COUNT("own requests only"),
+}
+
+/**
+ * An estimate of an upstream's load.
+ *
+ * @property ageMillis age of the report, or 0 if the estimate does not come from one
+ */
+public data class LoadEstimate(public val inFlight: Int, public val source: LoadSource, public val ageMillis: Long) {
+    /** Text for the event log. */
+    public val description: String
+        get() = "$inFlight in flight (${source.text}${if (source == LoadSource.REPORT) " $ageMillis ms ago" else ""})"
+}
+
 /** Thread-safe. Times are milliseconds of a monotonic clock. */
 public class UpstreamLoads(private val activity: UpstreamActivity, private val nowMillis: () -> Long) {
     private val reportedLoads = HashMap<UpstreamId, TimedLoad>()
@@ -19,11 +42,15 @@
     private var expectedRouters: Set<RouterId>? = null
 
     /** Returns the estimated number of requests in flight at [upstream]. */
-    public fun estimate(upstream: UpstreamId): Int {
+    public fun estimate(upstream: UpstreamId): Int = explainedEstimate(upstream).inFlight
+
+    /** Returns the estimate of the requests in flight at [upstream] with its source. */
+    public fun explainedEstimate(upstream: UpstreamId): LoadEstimate {
         val own = activity.inFlight(upstream)
-        inFlightOfOthers(upstream)?.let { return own + it }
-        val reported = freshLoad(upstream) ?: return own
-        return maxOf(own, reported.load + (own - reported.ownInFlight).coerceAtLeast(0))
+        inFlightOfOthers(upstream)?.let { return LoadEstimate(own + it, LoadSource.EXCHANGED_COUNTS, 0) }
+        val reported = freshLoad(upstream) ?: return LoadEstimate(own, LoadSource.OWN_COUNT, 0)
+        val inFlight = maxOf(own, reported.load + (own - reported.ownInFlight).coerceAtLeast(0))
+        return LoadEstimate(inFlight, LoadSource.REPORT, nowMillis() - reported.atMillis)
     }
 
     /** Records the [load] that [upstream] reported in a response to this router. */
--- a/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
@@ -49,4 +49,34 @@
                 expectThat(loads.estimate(engine)).isEqualTo(case.load)
             }
         }
+
+    private class SourceCase(
+        val name: String,
+        val reportAgeMillis: Long?,
+        val small: Boolean,
+        val expected: LoadEstimate,
+    )
+
+    // Guards against an event log from which an old or missing report cannot be told from a recent one.
+    @TestFactory
+    fun `an estimate states its source and age`(): List<DynamicTest> =
+        listOf(
+            SourceCase("a recent report", 500, small = false, LoadEstimate(9, LoadSource.REPORT, 500)),
+            SourceCase("an expired report", 3_000, small = false, LoadEstimate(1, LoadSource.OWN_COUNT, 0)),
+            SourceCase("no report", null, small = false, LoadEstimate(1, LoadSource.OWN_COUNT, 0)),
+            SourceCase("a small fleet", 500, small = true, LoadEstimate(1, LoadSource.EXCHANGED_COUNTS, 0)),
+        ).map { case ->
+            dynamicTest(case.name) {
+                var now = 0L
+                val activity = UpstreamActivity { now }
+                val loads = UpstreamLoads(activity) { now }
+                if (case.small) loads.expectCounts(emptySet())
+                activity.recordStart(engine, tokens = 0)
+                case.reportAgeMillis?.let {
+                    loads.recordReported(engine, load = 9)
+                    now = it
+                }
+                expectThat(loads.explainedEstimate(engine)).isEqualTo(case.expected)
+            }
+        }
 }
