Expect the mean load at an upstream without a recent report

Callers waited at engines with over twice the mean load. A router without a report of the last three seconds counted such an engine as holding only its own requests, 0 or 1 of the fleet's; with 69 routers this is often the case, and all of them preferred it. It also lowered the mean from which the load bound follows. The estimates of a pool are now computed at once, and an upstream without a report has the mean of the others.

UpstreamLoadsTest has a case that failed before.

--- a/src/main/kotlin/org/primrosesill/gateway/GatewayStatus.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayStatus.kt
@@ -10,7 +10,9 @@
 import org.primrosesill.generated.RouterStatus
 import org.primrosesill.generated.UpstreamState
 import org.primrosesill.generated.UpstreamStatus
+import org.primrosesill.placement.LoadEstimate
 import org.primrosesill.placement.UpstreamLoads
+import kotlin.math.roundToInt
 
 /** Returns the status of a gateway with these components. Called on the control thread. */
 internal fun gatewayStatus(
@@ -31,15 +33,16 @@
             },
         members = fleet.others() + fleet.self(),
         upstreams =
-            view.upstreams.values
-                .flatten()
-                .map { statusOf(it, view, loads) },
+            view.upstreams.values.flatMap { pool ->
+                val poolLoads = loads.estimates(pool.map { it.id })
+                pool.map { statusOf(it, view, poolLoads[it.id]) }
+            },
         platformAgeMillis = directory.ageMillis ?: -1,
         platformFailure = directory.platformFailure.orEmpty(),
     )
 }
 
-private fun statusOf(upstream: KnownUpstream, view: DirectoryView, loads: UpstreamLoads): UpstreamStatus {
+private fun statusOf(upstream: KnownUpstream, view: DirectoryView, load: LoadEstimate): UpstreamStatus {
     val registration = upstream.registration
     return UpstreamStatus(
         upstream = upstream.id,
@@ -51,7 +54,7 @@
                 upstream.isCold(monotonicMillis()) -> UpstreamState.COLD
                 else -> UpstreamState.WARM
             },
-        load = loads.estimate(upstream.id),
+        load = load.inFlight.roundToInt(),
         eligible = upstream in view.eligible(registration.pool),
         reason = upstream.ineligibleReason.orEmpty(),
     )
--- a/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
@@ -16,13 +16,13 @@
 /**
  * An engine that may serve one given prompt.
  *
- * @property inFlight requests in flight from all routers
+ * @property load requests in flight from all routers
  * @property cachedTokens tokens at the beginning of the prompt that the engine has prefilled before
  * @property pendingPrefillTokens prompt tokens of other requests that the engine has yet to prefill
  */
 internal class EngineCandidate(
     val upstream: KnownUpstream,
-    val inFlight: Int,
+    val load: LoadEstimate,
     val cachedTokens: Int,
     val pendingPrefillTokens: Int,
     val failureRate: Double,
@@ -48,7 +48,7 @@
     val prefillTokens = (prompt.promptTokens - candidate.cachedTokens - fetchedTokens).coerceAtLeast(0)
     return prefillTokens +
         fetchedTokens * FETCHED_TOKEN_COST +
-        candidate.inFlight * IN_FLIGHT_COST +
+        candidate.load.inFlight * IN_FLIGHT_COST +
         latenessCost(prompt, candidate.pendingPrefillTokens + prefillTokens) +
         candidate.failureRate * FAILURE_COST +
         crossZoneCost(prompt, candidate)
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -8,6 +8,7 @@
 import com.dynatrace.hash4j.hashing.Hashing
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.UpstreamId
+import kotlin.math.roundToInt
 
 internal class EnginePlacement(private val dependencies: PlacementDependencies) {
     private val activity = dependencies.activity
@@ -29,8 +30,9 @@
         pool: List<KnownUpstream>,
     ): PlacementResult.Chosen {
         val cachedTokens = index.cachedTokens(prompt)
-        val engines = candidates.map { candidate(it, cachedTokens) }
-        val bound = loadBound(pool)
+        val poolLoads = loads.estimates(pool.map { it.id })
+        val engines = candidates.map { candidate(it, poolLoads[it.id], cachedTokens) }
+        val bound = loadBound(poolLoads)
         val available = engines.filter { it.isBelow(bound) }.ifEmpty { leastLoaded(engines) }
         val isUncached = isUncached(prompt, cachedTokens)
         val chosen =
@@ -39,7 +41,7 @@
             } else {
                 cheapest(request, prompt, available, cachedTokens, sources)
             }
-        if (chosen.inFlight + 1 > bound * HIGH_LOAD_FRACTION) dependencies.onHighLoad()
+        if (chosen.load.inFlight + 1 > bound * HIGH_LOAD_FRACTION) dependencies.onHighLoad()
         val source = sourceFor(prompt, chosen, cachedTokens, sources)
         val sourceTokens = source?.let { cachedTokens[it.id] } ?: 0
         val prefillTokens = (prompt.promptTokens - maxOf(chosen.cachedTokens, sourceTokens)).coerceAtLeast(0)
@@ -60,11 +62,11 @@
         bound: Double,
     ): String {
         val sourceText = source?.let { ", ${it.id} can supply ${cachedTokens[it.id] ?: 0}" }.orEmpty()
-        val total = engines.sumOf { it.inFlight }
+        val total = engines.sumOf { it.load.inFlight }.roundToInt()
         return "has cached ${chosen.cachedTokens} of ${prompt.promptTokens} prompt tokens$sourceText, " +
             "highest on any engine ${cachedTokens.values.maxOrNull() ?: 0}, " +
             "last shared part ${prompt.sharedParts.lastOrNull()?.id}; " +
-            "${loads.explainedEstimate(chosen.upstream.id).description}, load bound ${bound.toInt()}, " +
+            "${chosen.load.description}, load bound ${bound.toInt()}, " +
             "${engines.count {
                 it.isBelow(
                     bound,
@@ -76,10 +78,10 @@
     private fun isUncached(prompt: Prompt, cachedTokens: Map<UpstreamId, Int>): Boolean =
         prompt.sharedTokens > 0 && cachedTokens.values.none { it >= prompt.sharedTokens }
 
-    private fun candidate(upstream: KnownUpstream, cachedTokens: Map<UpstreamId, Int>) =
+    private fun candidate(upstream: KnownUpstream, load: LoadEstimate, cachedTokens: Map<UpstreamId, Int>) =
         EngineCandidate(
             upstream = upstream,
-            inFlight = loads.estimate(upstream.id),
+            load = load,
             cachedTokens = cachedTokens[upstream.id] ?: 0,
             pendingPrefillTokens = activity.pendingPrefillTokens(upstream.id),
             failureRate = activity.failureRate(upstream.id),
@@ -89,14 +91,14 @@
      * Returns the load that no engine should exceed. The mean includes engines that get no new requests, so that when a few
      * engines carry all the work, they share it evenly.
      */
-    private fun loadBound(pool: List<KnownUpstream>): Double =
-        pool.sumOf { loads.estimate(it.id) } * LOAD_MULTIPLE / pool.size + LOAD_SLACK
+    private fun loadBound(loads: PoolLoads): Double = loads.mean * LOAD_MULTIPLE + LOAD_SLACK
 
-    private fun EngineCandidate.isBelow(bound: Double) = inFlight + 1 <= bound && inFlight < upstream.registration.slots
+    private fun EngineCandidate.isBelow(bound: Double) =
+        load.inFlight + 1 <= bound && load.inFlight < upstream.registration.slots
 
     private fun leastLoaded(engines: List<EngineCandidate>): List<EngineCandidate> {
-        val least = engines.minOf { it.inFlight }
-        return engines.filter { it.inFlight == least }
+        val least = engines.minOf { it.load.inFlight }
+        return engines.filter { it.load.inFlight == least }
     }
 
     private fun highestRanked(prompt: Prompt, engines: List<EngineCandidate>): EngineCandidate =
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -105,14 +105,15 @@
     ): List<KnownUpstream> =
         view.upstreams[request.pool].orEmpty().filterNot { isZoneSilent(it, fleet) || activity.isSuspect(it.id) }
 
-    private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream =
-        candidates.shuffled(dependencies.random).minBy { upstream ->
-            val inFlight = dependencies.loads.estimate(upstream.id)
+    private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream {
+        val loads = dependencies.loads.estimates(candidates.map { it.id })
+        return candidates.shuffled(dependencies.random).minBy { upstream ->
             val zonePenalty =
                 if (upstream.registration.availabilityZone == dependencies.zone) 0.0 else REMOTE_ZONE_PENALTY
-            inFlight.toDouble() / upstream.registration.slots + zonePenalty +
+            loads[upstream.id].inFlight / upstream.registration.slots + zonePenalty +
                 activity.failureRate(upstream.id) * FAILURE_RATE_PENALTY
         }
+    }
 
     private companion object {
         val RETRY_AFTER = 300.milliseconds
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -1,13 +1,17 @@
 /*
  * Estimates how many requests each upstream has in flight. In a small fleet routers send each other the number of requests
- * that each has in flight, and the sum is the load. Otherwise the load is the one that the upstream last reported in a
- * response to any router, plus the requests that this router has sent since. A single router receives too few responses to
- * keep this current, so routers forward the loads that they observe.
+ * that each has in flight, and the sum is the load. Otherwise the load is estimated from the one that the upstream last
+ * reported in a response to any router, plus the requests that this router has sent since. A single router receives too few
+ * responses to keep this current, so routers forward the loads that they observe.
+ *
+ * Load pattern: engines of a large pool are replaced while hundreds of requests a second arrive at as many routers, each of
+ * which has only a few requests of its own at any engine.
  */
 package org.primrosesill.placement
 
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
+import java.util.Locale
 
 /** The load that an upstream reported, and how long ago. */
 public data class LoadObservation(public val upstream: UpstreamId, public val load: Int, public val ageMillis: Long)
@@ -20,19 +24,35 @@
     /** The last report of the upstream, plus the requests that this router has sent since. */
     REPORT("reported"),
 
-    /** The requests of this router only, as there is no recent report. */
-    OWN_COUNT("own requests only"),
+    /** The mean of the pool or, if larger, the requests of this router, as there is no recent report. */
+    NO_REPORT("no recent report"),
 }
 
 /**
  * An estimate of an upstream's load.
  *
+ * @property inFlight the expected number of requests in flight
  * @property ageMillis age of the report, or 0 if the estimate does not come from one
  */
-public data class LoadEstimate(public val inFlight: Int, public val source: LoadSource, public val ageMillis: Long) {
+public data class LoadEstimate(public val inFlight: Double, public val source: LoadSource, public val ageMillis: Long) {
     /** Text for the event log. */
     public val description: String
-        get() = "$inFlight in flight (${source.text}${if (source == LoadSource.REPORT) " $ageMillis ms ago" else ""})"
+        get() {
+            val age = if (source == LoadSource.REPORT) " $ageMillis ms ago" else ""
+            return "%.1f in flight (%s%s)".format(Locale.ROOT, inFlight, source.text, age)
+        }
+}
+
+/**
+ * The estimated loads of all upstreams of a pool.
+ *
+ * @property areExact whether the estimates are the counts of all routers
+ */
+public class PoolLoads(private val estimates: Map<UpstreamId, LoadEstimate>, public val areExact: Boolean) {
+    /** Mean number of requests in flight, or 0 for an empty pool. */
+    public val mean: Double = if (estimates.isEmpty()) 0.0 else estimates.values.sumOf { it.inFlight } / estimates.size
+
+    public operator fun get(upstream: UpstreamId): LoadEstimate = estimates.getValue(upstream)
 }
 
 /** Thread-safe. Times are milliseconds of a monotonic clock. */
@@ -41,16 +61,44 @@
     private val countsByRouter = HashMap<RouterId, RouterCounts>()
     private var expectedRouters: Set<RouterId>? = null
 
-    /** Returns the estimated number of requests in flight at [upstream]. */
-    public fun estimate(upstream: UpstreamId): Int = explainedEstimate(upstream).inFlight
+    /** Returns the estimated loads of [pool]. */
+    @Synchronized
+    public fun estimates(pool: Collection<UpstreamId>): PoolLoads {
+        val counts = freshCounts()
+        return if (counts == null) estimatesFromReports(pool) else exchangedCounts(pool, counts)
+    }
+
+    private fun exchangedCounts(pool: Collection<UpstreamId>, counts: List<RouterCounts>): PoolLoads {
+        val estimates =
+            pool.associateWith { upstream ->
+                val inFlight = activity.inFlight(upstream) + counts.sumOf { it.requests[upstream] ?: 0 }
+                LoadEstimate(inFlight.toDouble(), LoadSource.EXCHANGED_COUNTS, 0)
+            }
+        return PoolLoads(estimates, areExact = true)
+    }
 
-    /** Returns the estimate of the requests in flight at [upstream] with its source. */
-    public fun explainedEstimate(upstream: UpstreamId): LoadEstimate {
+    /**
+     * An upstream without a recent report is expected to have the mean load of the others: if it counted as idle, all
+     * routers would prefer it.
+     */
+    private fun estimatesFromReports(pool: Collection<UpstreamId>): PoolLoads {
+        val reported = pool.mapNotNull { upstream -> freshLoad(upstream)?.let { upstream to currentLoad(upstream, it) } }
+        val loads = reported.toMap()
+        val mean = if (loads.isEmpty()) 0.0 else loads.values.average()
+        val estimates =
+            pool.associateWith { upstream ->
+                val own = activity.inFlight(upstream).toDouble()
+                val load = loads[upstream] ?: return@associateWith LoadEstimate(maxOf(own, mean), LoadSource.NO_REPORT, 0)
+                val ageMillis = nowMillis() - reportedLoads.getValue(upstream).atMillis
+                LoadEstimate(load.toDouble(), LoadSource.REPORT, ageMillis)
+            }
+        return PoolLoads(estimates, areExact = false)
+    }
+
+    /** Returns the load of [upstream] that was [reported], plus the requests that this router has sent since. */
+    private fun currentLoad(upstream: UpstreamId, reported: TimedLoad): Int {
         val own = activity.inFlight(upstream)
-        inFlightOfOthers(upstream)?.let { return LoadEstimate(own + it, LoadSource.EXCHANGED_COUNTS, 0) }
-        val reported = freshLoad(upstream) ?: return LoadEstimate(own, LoadSource.OWN_COUNT, 0)
-        val inFlight = maxOf(own, reported.load + (own - reported.ownInFlight).coerceAtLeast(0))
-        return LoadEstimate(inFlight, LoadSource.REPORT, nowMillis() - reported.atMillis)
+        return maxOf(own, reported.load + (own - reported.ownInFlight).coerceAtLeast(0))
     }
 
     /** Records the [load] that [upstream] reported in a response to this router. */
@@ -90,10 +138,7 @@
     /** Returns the number of requests of this router in flight at each upstream. Upstreams without any are absent. */
     public fun ownCounts(): Map<UpstreamId, Int> = activity.inFlightByUpstream()
 
-    private fun inFlightOfOthers(upstream: UpstreamId): Int? = freshCounts()?.sumOf { it.requests[upstream] ?: 0 }
-
     /** Returns the counts of all other routers, or null if those of any expected router are missing or expired. */
-    @Synchronized
     private fun freshCounts(): List<RouterCounts>? {
         val routers = expectedRouters ?: return null
         val earliest = nowMillis() - COUNT_EXPIRY_MILLIS
@@ -107,7 +152,6 @@
         reportedLoads.keys.retainAll(known)
     }
 
-    @Synchronized
     private fun freshLoad(upstream: UpstreamId): TimedLoad? =
         reportedLoads[upstream]?.takeIf { nowMillis() - it.atMillis < LOAD_EXPIRY_MILLIS }
 
--- a/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
@@ -99,9 +99,11 @@
         first.fleet.applyMessage(second.message(), 0)
         first.fleet.nextRound(first.directory)
         first.fleet.tick(0)
-        expectThat(first.loads.estimate(engine)).describedAs("before the counts").isEqualTo(0)
+        expectThat(
+            first.loads.estimates(listOf(engine))[engine].inFlight,
+        ).describedAs("before the counts").isEqualTo(0.0)
         val counts = expectThat(second.fleet.requestCountsMessage()).isNotNull().subject
         first.fleet.applyMessage(counts.message, 0)
-        expectThat(first.loads.estimate(engine)).isEqualTo(1)
+        expectThat(first.loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(1.0)
     }
 }
--- a/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
@@ -46,7 +47,7 @@
                 activity.recordStart(engine, tokens = 0)
                 now = case.ageMillis
                 loads.recordReported(engine, load = 9)
-                expectThat(loads.estimate(engine)).isEqualTo(case.load)
+                expectThat(loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(case.load.toDouble())
             }
         }
 
@@ -61,10 +62,10 @@
     @TestFactory
     fun `an estimate states its source and age`(): List<DynamicTest> =
         listOf(
-            SourceCase("a recent report", 500, small = false, LoadEstimate(9, LoadSource.REPORT, 500)),
-            SourceCase("an expired report", 3_000, small = false, LoadEstimate(1, LoadSource.OWN_COUNT, 0)),
-            SourceCase("no report", null, small = false, LoadEstimate(1, LoadSource.OWN_COUNT, 0)),
-            SourceCase("a small fleet", 500, small = true, LoadEstimate(1, LoadSource.EXCHANGED_COUNTS, 0)),
+            SourceCase("a recent report", 500, small = false, LoadEstimate(9.0, LoadSource.REPORT, 500)),
+            SourceCase("an expired report", 3_000, small = false, LoadEstimate(1.0, LoadSource.NO_REPORT, 0)),
+            SourceCase("no report", null, small = false, LoadEstimate(1.0, LoadSource.NO_REPORT, 0)),
+            SourceCase("a small fleet", 500, small = true, LoadEstimate(1.0, LoadSource.EXCHANGED_COUNTS, 0)),
         ).map { case ->
             dynamicTest(case.name) {
                 var now = 0L
@@ -76,7 +77,18 @@
                     loads.recordReported(engine, load = 9)
                     now = it
                 }
-                expectThat(loads.explainedEstimate(engine)).isEqualTo(case.expected)
+                expectThat(loads.estimates(listOf(engine))[engine]).isEqualTo(case.expected)
             }
         }
+
+    // Guards against an engine that all routers prefer, since they have no recent report of its load and count it as idle.
+    @Test
+    fun `an upstream without a recent report is expected to have the mean load`() {
+        val loads = UpstreamLoads(UpstreamActivity { 0 }) { 0 }
+        loads.recordReported(UpstreamId("first"), load = 4)
+        loads.recordReported(UpstreamId("second"), load = 8)
+        val estimates = loads.estimates(listOf(UpstreamId("first"), UpstreamId("second"), engine))
+        expectThat(estimates[engine].inFlight).isEqualTo(6.0)
+        expectThat(estimates.mean).isEqualTo(6.0)
+    }
 }
