Weight a reported load by its age

All routers of a large fleet receive the same reports, 0.1 to 3 s late, and took each as exact, so that all of them sent to the engine whose report was lowest until the next one spread. The estimate now returns to the mean of the pool with a time constant of 1.5 s, about as long as long responses take. It is rounded to whole requests, so that engines with about the same load are told apart by the hashing order of the prompt, which differs from prompt to prompt.

UpstreamLoadsTest has a case that failed before.

--- a/src/main/kotlin/org/primrosesill/gateway/GatewayStatus.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayStatus.kt
@@ -12,7 +12,6 @@
 import org.primrosesill.generated.UpstreamStatus
 import org.primrosesill.placement.LoadEstimate
 import org.primrosesill.placement.UpstreamLoads
-import kotlin.math.roundToInt
 
 /** Returns the status of a gateway with these components. Called on the control thread. */
 internal fun gatewayStatus(
@@ -54,7 +53,7 @@
                 upstream.isCold(monotonicMillis()) -> UpstreamState.COLD
                 else -> UpstreamState.WARM
             },
-        load = load.inFlight.roundToInt(),
+        load = load.inFlight,
         eligible = upstream in view.eligible(registration.pool),
         reason = upstream.ineligibleReason.orEmpty(),
     )
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -8,7 +8,6 @@
 import com.dynatrace.hash4j.hashing.Hashing
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.UpstreamId
-import kotlin.math.roundToInt
 
 internal class EnginePlacement(private val dependencies: PlacementDependencies) {
     private val activity = dependencies.activity
@@ -62,7 +61,7 @@
         bound: Double,
     ): String {
         val sourceText = source?.let { ", ${it.id} can supply ${cachedTokens[it.id] ?: 0}" }.orEmpty()
-        val total = engines.sumOf { it.load.inFlight }.roundToInt()
+        val total = engines.sumOf { it.load.inFlight }
         return "has cached ${chosen.cachedTokens} of ${prompt.promptTokens} prompt tokens$sourceText, " +
             "highest on any engine ${cachedTokens.values.maxOrNull() ?: 0}, " +
             "last shared part ${prompt.sharedParts.lastOrNull()?.id}; " +
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -110,7 +110,7 @@
         return candidates.shuffled(dependencies.random).minBy { upstream ->
             val zonePenalty =
                 if (upstream.registration.availabilityZone == dependencies.zone) 0.0 else REMOTE_ZONE_PENALTY
-            loads[upstream.id].inFlight / upstream.registration.slots + zonePenalty +
+            loads[upstream.id].inFlight.toDouble() / upstream.registration.slots + zonePenalty +
                 activity.failureRate(upstream.id) * FAILURE_RATE_PENALTY
         }
     }
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -11,7 +11,8 @@
 
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
-import java.util.Locale
+import kotlin.math.exp
+import kotlin.math.roundToInt
 
 /** The load that an upstream reported, and how long ago. */
 public data class LoadObservation(public val upstream: UpstreamId, public val load: Int, public val ageMillis: Long)
@@ -31,15 +32,15 @@
 /**
  * An estimate of an upstream's load.
  *
- * @property inFlight the expected number of requests in flight
+ * @property inFlight the expected number of requests in flight, rounded, as smaller differences say nothing
  * @property ageMillis age of the report, or 0 if the estimate does not come from one
  */
-public data class LoadEstimate(public val inFlight: Double, public val source: LoadSource, public val ageMillis: Long) {
+public data class LoadEstimate(public val inFlight: Int, public val source: LoadSource, public val ageMillis: Long) {
     /** Text for the event log. */
     public val description: String
         get() {
             val age = if (source == LoadSource.REPORT) " $ageMillis ms ago" else ""
-            return "%.1f in flight (%s%s)".format(Locale.ROOT, inFlight, source.text, age)
+            return "$inFlight in flight (${source.text}$age)"
         }
 }
 
@@ -50,7 +51,7 @@
  */
 public class PoolLoads(private val estimates: Map<UpstreamId, LoadEstimate>, public val areExact: Boolean) {
     /** Mean number of requests in flight, or 0 for an empty pool. */
-    public val mean: Double = if (estimates.isEmpty()) 0.0 else estimates.values.sumOf { it.inFlight } / estimates.size
+    public val mean: Double = if (estimates.isEmpty()) 0.0 else estimates.values.sumOf { it.inFlight }.toDouble() / estimates.size
 
     public operator fun get(upstream: UpstreamId): LoadEstimate = estimates.getValue(upstream)
 }
@@ -72,14 +73,14 @@
         val estimates =
             pool.associateWith { upstream ->
                 val inFlight = activity.inFlight(upstream) + counts.sumOf { it.requests[upstream] ?: 0 }
-                LoadEstimate(inFlight.toDouble(), LoadSource.EXCHANGED_COUNTS, 0)
+                LoadEstimate(inFlight, LoadSource.EXCHANGED_COUNTS, 0)
             }
         return PoolLoads(estimates, areExact = true)
     }
 
     /**
-     * An upstream without a recent report is expected to have the mean load of the others: if it counted as idle, all
-     * routers would prefer it.
+     * The older a report, the closer the load is expected to be to the mean. All routers have the same reports, and if an
+     * old one counted as exact, or an upstream without one as idle, all would send to the same upstream.
      */
     private fun estimatesFromReports(pool: Collection<UpstreamId>): PoolLoads {
         val reported = pool.mapNotNull { upstream -> freshLoad(upstream)?.let { upstream to currentLoad(upstream, it) } }
@@ -87,10 +88,11 @@
         val mean = if (loads.isEmpty()) 0.0 else loads.values.average()
         val estimates =
             pool.associateWith { upstream ->
-                val own = activity.inFlight(upstream).toDouble()
-                val load = loads[upstream] ?: return@associateWith LoadEstimate(maxOf(own, mean), LoadSource.NO_REPORT, 0)
+                val own = activity.inFlight(upstream)
+                val load = loads[upstream] ?: return@associateWith LoadEstimate(maxOf(own, mean.roundToInt()), LoadSource.NO_REPORT, 0)
                 val ageMillis = nowMillis() - reportedLoads.getValue(upstream).atMillis
-                LoadEstimate(load.toDouble(), LoadSource.REPORT, ageMillis)
+                val expected = mean + (load - mean) * exp(-ageMillis / LOAD_TIME_CONSTANT_MILLIS)
+                LoadEstimate(maxOf(own, expected.roundToInt()), LoadSource.REPORT, ageMillis)
             }
         return PoolLoads(estimates, areExact = false)
     }
@@ -172,5 +174,8 @@
         const val COUNT_EXPIRY_MILLIS = 1_300L
         const val LOAD_EXPIRY_MILLIS = 3_000L
         const val FORWARDING_MILLIS = 2_000L
+
+        /** Time constant with which a load returns to the mean: long responses take about this long. */
+        const val LOAD_TIME_CONSTANT_MILLIS = 1_500.0
     }
 }
--- a/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
@@ -101,9 +101,9 @@
         first.fleet.tick(0)
         expectThat(
             first.loads.estimates(listOf(engine))[engine].inFlight,
-        ).describedAs("before the counts").isEqualTo(0.0)
+        ).describedAs("before the counts").isEqualTo(0)
         val counts = expectThat(second.fleet.requestCountsMessage()).isNotNull().subject
         first.fleet.applyMessage(counts.message, 0)
-        expectThat(first.loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(1.0)
+        expectThat(first.loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(1)
     }
 }
--- a/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
@@ -47,7 +47,7 @@
                 activity.recordStart(engine, tokens = 0)
                 now = case.ageMillis
                 loads.recordReported(engine, load = 9)
-                expectThat(loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(case.load.toDouble())
+                expectThat(loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(case.load)
             }
         }
 
@@ -62,10 +62,10 @@
     @TestFactory
     fun `an estimate states its source and age`(): List<DynamicTest> =
         listOf(
-            SourceCase("a recent report", 500, small = false, LoadEstimate(9.0, LoadSource.REPORT, 500)),
-            SourceCase("an expired report", 3_000, small = false, LoadEstimate(1.0, LoadSource.NO_REPORT, 0)),
-            SourceCase("no report", null, small = false, LoadEstimate(1.0, LoadSource.NO_REPORT, 0)),
-            SourceCase("a small fleet", 500, small = true, LoadEstimate(1.0, LoadSource.EXCHANGED_COUNTS, 0)),
+            SourceCase("a recent report", 500, small = false, LoadEstimate(9, LoadSource.REPORT, 500)),
+            SourceCase("an expired report", 3_000, small = false, LoadEstimate(1, LoadSource.NO_REPORT, 0)),
+            SourceCase("no report", null, small = false, LoadEstimate(1, LoadSource.NO_REPORT, 0)),
+            SourceCase("a small fleet", 500, small = true, LoadEstimate(1, LoadSource.EXCHANGED_COUNTS, 0)),
         ).map { case ->
             dynamicTest(case.name) {
                 var now = 0L
@@ -88,7 +88,23 @@
         loads.recordReported(UpstreamId("first"), load = 4)
         loads.recordReported(UpstreamId("second"), load = 8)
         val estimates = loads.estimates(listOf(UpstreamId("first"), UpstreamId("second"), engine))
-        expectThat(estimates[engine].inFlight).isEqualTo(6.0)
+        expectThat(estimates[engine].inFlight).isEqualTo(6)
         expectThat(estimates.mean).isEqualTo(6.0)
     }
+
+    // Guards against routers that all send to the engine whose last report is the lowest, however old the report is.
+    @TestFactory
+    fun `an older report is closer to the mean`(): List<DynamicTest> =
+        listOf(0L to 0, 1_300L to 2, 1_600L to 3, 2_900L to 3).map { (ageMillis, lowest) ->
+            dynamicTest("$ageMillis ms") {
+                var now = 0L
+                val loads = UpstreamLoads(UpstreamActivity { now }) { now }
+                loads.recordReported(engine, load = 0)
+                loads.recordReported(UpstreamId("other"), load = 8)
+                now = ageMillis
+                val estimates = loads.estimates(listOf(engine, UpstreamId("other")))
+                expectThat(estimates[engine].inFlight).isEqualTo(lowest)
+                expectThat(estimates.mean).isEqualTo(4.0, 0.01)
+            }
+        }
 }
