--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -51,7 +51,13 @@
  */
 public class PoolLoads(private val estimates: Map<UpstreamId, LoadEstimate>, public val areExact: Boolean) {
     /** Mean number of requests in flight, or 0 for an empty pool. */
-    public val mean: Double = if (estimates.isEmpty()) 0.0 else estimates.values.sumOf { it.inFlight }.toDouble() / estimates.size
+    public val mean: Double =
+        if (estimates.isEmpty()) {
+            0.0
+        } else {
+            estimates.values.sumOf { it.inFlight }.toDouble() /
+                estimates.size
+        }
 
     public operator fun get(upstream: UpstreamId): LoadEstimate = estimates.getValue(upstream)
 }
@@ -83,7 +89,10 @@
      * old one counted as exact, or an upstream without one as idle, all would send to the same upstream.
      */
     private fun estimatesFromReports(pool: Collection<UpstreamId>): PoolLoads {
-        val reported = pool.mapNotNull { upstream -> freshLoad(upstream)?.let { upstream to currentLoad(upstream, it) } }
+        val reported =
+            pool.mapNotNull { upstream ->
+                freshLoad(upstream)?.let { upstream to currentLoad(upstream, it) }
+            }
         val loads = reported.toMap()
         val mean = if (loads.isEmpty()) 0.0 else loads.values.average()
         val estimates =
--- a/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
@@ -151,8 +151,8 @@
                 val result = replay.play(load)
                 val worst = result.worstOverLoadBound(LOAD_BOUND_WINDOW_MILLIS, fromMillis = REPLACEMENT_START_MILLIS)
                 println(
-                    "seed $seed: over the load bound ${result.overLoadBound} of ${result.requests}, worst window $worst, " +
-                        "prefilled again ${result.tokensPrefilledAgain}, fetched ${result.tokensFetched}",
+                    "seed $seed: over the load bound ${result.overLoadBound} of ${result.requests}, " +
+                        "worst window $worst, prefilled again ${result.tokensPrefilledAgain}, fetched ${result.tokensFetched}",
                 )
                 expectThat(worst).isLessThanOrEqualTo(0.03)
             }
