--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -131,9 +131,11 @@
 ) {
     constructor(client: ScriptedClient) : this(client as UpstreamClient)
 
+    /** Time of the monotonic clock. */
+    var nowMillis = 0L
     val events = mutableListOf<Pair<EventType, String>>()
     val view = directoryView(configuration, upstreams)
-    val activity = UpstreamActivity { 0 }
+    val activity = UpstreamActivity { nowMillis }
     val notices = UpstreamNotices({ 2_000 }, { 0 })
     val handler =
         forwarder(
--- a/src/test/kotlin/org/primrosesill/request/RequestFixture.kt
+++ b/src/test/kotlin/org/primrosesill/request/RequestFixture.kt
@@ -87,9 +87,13 @@
 /** Stalls a body: the upstream keeps the connection open but sends nothing more. */
 val stallMarker = BodyPart.Bytes(ByteArray(0))
 
-class ScriptedClient(private val replies: List<Reply>) : UpstreamClient {
+class ScriptedClient(private val replyTo: (UpstreamCall) -> Reply) : UpstreamClient {
+    /** A client that replies to one call after the other. */
+    constructor(replies: List<Reply>) : this(ArrayDeque(replies))
+
+    private constructor(remaining: ArrayDeque<Reply>) : this({ _ -> remaining.removeFirst() })
+
     val calls = mutableListOf<UpstreamCall>()
-    private val remaining = ArrayDeque(replies)
 
     /** Calls that sent a request to an upstream, without those that resume or cancel a stream. */
     val sent: List<UpstreamCall> get() = calls.filterNot { it.path.startsWith("/v1/streams/") }
@@ -97,7 +101,7 @@
     override suspend fun <T> exchange(call: UpstreamCall, use: suspend (UpstreamResponse) -> T): ExchangeResult<T> {
         calls += call
         if (call.method == "DELETE") return ExchangeResult.NotSent("not scripted")
-        return when (val reply = remaining.removeFirst()) {
+        return when (val reply = replyTo(call)) {
             Reply.NotSent -> ExchangeResult.NotSent("refused")
             Reply.Reset -> ExchangeResult.ConnectionFailed("reset")
             Reply.TimedOut -> ExchangeResult.TimedOut
