--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -29,8 +29,9 @@
         pool: List<KnownUpstream>,
     ): PlacementResult.Chosen {
         val cachedTokens = index.cachedTokens(prompt)
-        val engines = candidates.map { candidate(it, cachedTokens) }
-        val bound = loadBound(pool)
+        val poolLoads = loads.estimates(pool.map { it.id })
+        val engines = candidates.map { candidate(it, poolLoads[it.id], cachedTokens) }
+        val bound = loadBound(poolLoads)
         val available = engines.filter { it.isBelow(bound) }.ifEmpty { leastLoaded(engines) }
         val isUncached = isUncached(prompt, cachedTokens)
         val chosen =
@@ -39,7 +40,7 @@
             } else {
                 cheapest(request, prompt, available, cachedTokens, sources)
             }
-        if (chosen.inFlight + 1 > bound * HIGH_LOAD_FRACTION) dependencies.onHighLoad()
+        if (chosen.load.inFlight + 1 > bound * HIGH_LOAD_FRACTION) dependencies.onHighLoad()
         val source = sourceFor(prompt, chosen, cachedTokens, sources)
         val sourceTokens = source?.let { cachedTokens[it.id] } ?: 0
         val prefillTokens = (prompt.promptTokens - maxOf(chosen.cachedTokens, sourceTokens)).coerceAtLeast(0)
@@ -60,11 +61,11 @@
         bound: Double,
     ): String {
         val sourceText = source?.let { ", ${it.id} can supply ${cachedTokens[it.id] ?: 0}" }.orEmpty()
-        val total = engines.sumOf { it.inFlight }
+        val total = engines.sumOf { it.load.inFlight }
         return "has cached ${chosen.cachedTokens} of ${prompt.promptTokens} prompt tokens$sourceText, " +
             "highest on any engine ${cachedTokens.values.maxOrNull() ?: 0}, " +
             "last shared part ${prompt.sharedParts.lastOrNull()?.id}; " +
-            "${loads.explainedEstimate(chosen.upstream.id).description}, load bound ${bound.toInt()}, " +
+            "${chosen.load.description}, load bound ${bound.toInt()}, " +
             "${engines.count {
                 it.isBelow(
                     bound,
@@ -76,10 +77,10 @@
     private fun isUncached(prompt: Prompt, cachedTokens: Map<UpstreamId, Int>): Boolean =
         prompt.sharedTokens > 0 && cachedTokens.values.none { it >= prompt.sharedTokens }
 
-    private fun candidate(upstream: KnownUpstream, cachedTokens: Map<UpstreamId, Int>) =
+    private fun candidate(upstream: KnownUpstream, load: LoadEstimate, cachedTokens: Map<UpstreamId, Int>) =
         EngineCandidate(
             upstream = upstream,
-            inFlight = loads.estimate(upstream.id),
+            load = load,
             cachedTokens = cachedTokens[upstream.id] ?: 0,
             pendingPrefillTokens = activity.pendingPrefillTokens(upstream.id),
             failureRate = activity.failureRate(upstream.id),
@@ -87,16 +88,22 @@
 
     /**
      * Returns the load that no engine should exceed. The mean includes engines that get no new requests, so that when a few
-     * engines carry all the work, they share it evenly.
+     * engines carry all the work, they share it evenly. The bound is lower for estimates from reports, since other routers
+     * send requests between two reports.
      */
-    private fun loadBound(pool: List<KnownUpstream>): Double =
-        pool.sumOf { loads.estimate(it.id) } * LOAD_MULTIPLE / pool.size + LOAD_SLACK
+    private fun loadBound(loads: PoolLoads): Double =
+        if (loads.areExact) {
+            loads.mean * EXACT_LOAD_MULTIPLE + EXACT_LOAD_SLACK
+        } else {
+            loads.mean * REPORTED_LOAD_MULTIPLE + REPORTED_LOAD_SLACK
+        }
 
-    private fun EngineCandidate.isBelow(bound: Double) = inFlight + 1 <= bound && inFlight < upstream.registration.slots
+    private fun EngineCandidate.isBelow(bound: Double) =
+        load.inFlight + 1 <= bound && load.inFlight < upstream.registration.slots
 
     private fun leastLoaded(engines: List<EngineCandidate>): List<EngineCandidate> {
-        val least = engines.minOf { it.inFlight }
-        return engines.filter { it.inFlight == least }
+        val least = engines.minOf { it.load.inFlight }
+        return engines.filter { it.load.inFlight == least }
     }
 
     private fun highestRanked(prompt: Prompt, engines: List<EngineCandidate>): EngineCandidate =
@@ -141,8 +148,10 @@
     }
 
     private companion object {
-        const val LOAD_MULTIPLE = 2.0
-        const val LOAD_SLACK = 2.0
+        const val EXACT_LOAD_MULTIPLE = 2.0
+        const val EXACT_LOAD_SLACK = 2.0
+        const val REPORTED_LOAD_MULTIPLE = 1.5
+        const val REPORTED_LOAD_SLACK = 1.0
 
         /** Fraction of the load bound above which routers send each other their request counts at once. */
         const val HIGH_LOAD_FRACTION = 0.7
