Treat a stream that ends within an event as truncated

A stream that ended within an event was reported as complete, with the partial event left out; comments after the last event were lost. ForwarderTest has three cases that failed before: 200 in place of an aborted response, 200 in place of 502, and a body without its last comment.

--- a/src/main/kotlin/org/primrosesill/answer/EventStreamParser.kt
+++ b/src/main/kotlin/org/primrosesill/answer/EventStreamParser.kt
@@ -29,6 +29,9 @@
     public var overflow: Boolean = false
         private set
 
+    /** Whether bytes were received after the last complete event. */
+    public val hasIncompleteEvent: Boolean get() = pending.size() > 0
+
     /** Parses the next [bytes] of the stream and returns the events that end in them. */
     public fun feed(bytes: ByteArray): List<StreamEvent> {
         val events = ArrayList<StreamEvent>(1)
--- a/src/main/kotlin/org/primrosesill/forwarding/EventStreamReader.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/EventStreamReader.kt
@@ -21,7 +21,8 @@
     /** The stream failed or stalled before its end. */
     class Interrupted(val reason: String, val connectionLost: Boolean = false) : StreamPart
 
-    data object End : StreamPart
+    /** The stream is complete. [comments] follow its last event. */
+    class End(val comments: ByteArray) : StreamPart
 }
 
 internal class EventStreamReader(private val body: UpstreamBody) {
@@ -38,11 +39,19 @@
             when (val part = body.next()) {
                 is BodyPart.Bytes -> parse(part.bytes)?.let { return it }
                 is BodyPart.Truncated -> return StreamPart.Interrupted(part.reason, connectionLost = true)
-                BodyPart.End -> return StreamPart.End
+                BodyPart.End -> return endOfBody()
             }
         }
     }
 
+    /** A response without a length ends with its connection, so that a truncated one may end like a complete one. */
+    private fun endOfBody(): StreamPart =
+        if (parser.hasIncompleteEvent) {
+            StreamPart.Interrupted("the response ended within an event", connectionLost = true)
+        } else {
+            StreamPart.End(pendingComments.toByteArray())
+        }
+
     /** Returns the events that are complete with [bytes], or null when none is and the limit is not exceeded. */
     private fun parse(bytes: ByteArray): StreamPart? {
         bytesSinceEvent += bytes.size
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -171,8 +171,9 @@
                     dependencies.activity.recordConnectionFailure(upstream.id)
                     return interruptedOutcome(context, callerResponse, part)
                 }
-                StreamPart.End -> {
+                is StreamPart.End -> {
                     if (!callerResponse.started) callerResponse.start(headOf(response))
+                    if (part.comments.isNotEmpty()) callerResponse.write(part.comments)
                     callerResponse.finish()
                     dependencies.activity.recordSuccess(upstream.id)
                     return AttemptOutcome.Delivered(response.status)
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwarderTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwarderTest.kt
@@ -74,12 +74,17 @@
     // may have been executed.
     @TestFactory
     fun `a non-idempotent request is retried only when it has not been executed`(): List<DynamicTest> =
-        listOf("/unsafe/x", "/stream/x").flatMap { target ->
+        listOf("/unsafe/x" to ok, "/stream/x" to events(1)).flatMap { (target, success) ->
             tests(
                 listOf(
-                    Case("$target, not sent, then success", target, listOf(Reply.NotSent, ok), "200"),
-                    Case("$target, rejected, then success", target, listOf(notRun, ok), "200"),
-                    Case("$target, different incarnation, then success", target, listOf(otherIncarnation, ok), "200"),
+                    Case("$target, not sent, then success", target, listOf(Reply.NotSent, success), "200"),
+                    Case("$target, rejected, then success", target, listOf(notRun, success), "200"),
+                    Case(
+                        "$target, different incarnation, then success",
+                        target,
+                        listOf(otherIncarnation, success),
+                        "200",
+                    ),
                     Case("$target, never sent", target, List(3) { Reply.NotSent }, "503", retryAfter = true),
                     Case("$target, rejected by all upstreams", target, List(3) { notRun }, "503", retryAfter = true),
                     Case("$target, connection failure", target, listOf(Reply.Reset), "502"),
@@ -166,6 +171,26 @@
                     "200 aborted",
                     body = "id: 1\ndata: x\n\n",
                 ),
+                Case(
+                    "without a length, ended within an event",
+                    "/stream/x",
+                    listOf(Reply.Response(200, parts("id: 1\ndata: x\n\nid: 2\nda"), signed)),
+                    "200 aborted",
+                    body = "id: 1\ndata: x\n\n",
+                ),
+                Case(
+                    "without a length, ended within its first event",
+                    "/stream/x",
+                    listOf(Reply.Response(200, parts("id: 1\nda"), signed)),
+                    "502",
+                ),
+                Case(
+                    "ended by a comment",
+                    "/stream/x",
+                    listOf(Reply.Response(200, parts("id: 1\ndata: x\n\n", ": end\n\n"), signed)),
+                    "200",
+                    body = "id: 1\ndata: x\n\n: end\n\n",
+                ),
                 Case("truncated before the first event", "/stream/x", listOf(events(end = reset)), "502"),
                 Case(
                     "resumed",
