Reject odd entries among the upstreams of the store

Reported by other operators: one odd entry ended the processes that read the list, or they stopped following it. Here, an entry of 100,000 nested arrays ended the decoding with a StackOverflowError on a stack of the size of a gateway's; by reading, the rest of the listing was then not applied.  slots became 0, a cold start of Long.MAX_VALUE ms overflowed, and port 0, 10.0.0.256, the host 'cafe' and [::::] counted as addresses (by reading, the last two reach a name lookup or an exception on the traffic thread). An id with a line break was accepted, although upstreams receive their id in a header field. All are now rejected with the path of the field.

--- a/src/main/kotlin/org/primrosesill/model/SocketAddress.kt
+++ b/src/main/kotlin/org/primrosesill/model/SocketAddress.kt
@@ -26,10 +26,29 @@
 public fun parseSocketAddress(text: String): Either<AddressError, SocketAddress> {
     val host = text.substringBeforeLast(':', "").removeSurrounding("[", "]")
     val port = text.substringAfterLast(':').toIntOrNull()
-    val hasIpAddressCharacters = host.isNotEmpty() && host.all { it.isDigit() || it in ".:abcdefABCDEF" }
-    return if (hasIpAddressCharacters && port != null && port in 0..HIGHEST_PORT) {
+    return if ((isIpv4Address(host) || isIpv6Address(host)) && port != null && port in 0..HIGHEST_PORT) {
         SocketAddress(host, port).right()
     } else {
         AddressError(text).left()
     }
 }
+
+private fun isIpv4Address(host: String): Boolean {
+    val octets = host.split('.')
+    return octets.size == IPV4_OCTETS && octets.all { octetPattern.matches(it) && it.toInt() <= HIGHEST_OCTET }
+}
+
+/** Returns whether [host] has the form of an IPv6 address, with at most one gap; an embedded IPv4 address is not accepted. */
+private fun isIpv6Address(host: String): Boolean {
+    val gaps = host.split("::")
+    if (gaps.size > 2) return false
+    val groups = gaps.filter { it.isNotEmpty() }.flatMap { it.split(':') }
+    val hasAllGroups = if (gaps.size == 2) groups.size < IPV6_GROUPS else groups.size == IPV6_GROUPS
+    return hasAllGroups && groups.all(ipv6GroupPattern::matches)
+}
+
+private const val IPV4_OCTETS = 4
+private const val HIGHEST_OCTET = 255
+private const val IPV6_GROUPS = 8
+private val octetPattern = Regex("[0-9]{1,3}")
+private val ipv6GroupPattern = Regex("[0-9a-fA-F]{1,4}")
--- a/src/main/kotlin/org/primrosesill/platform/StoreItems.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreItems.kt
@@ -46,23 +46,33 @@
 
 private fun readAddress(entry: WireObject): String {
     val address = entry.string("address")
-    if (parseSocketAddress(address).isLeft()) entry.fail("address", "'$address'", "an IP address and a port")
-    return address
+    val hasPort = parseSocketAddress(address).fold({ false }, { it.port > 0 })
+    return if (hasPort) address else entry.fail("address", "'$address'", "an IP address and a port")
 }
 
+/** Upstreams receive their id in a header field. */
+private val idPattern = Regex("[!-~]{1,200}")
+
+private val SLOTS = 1L..1_000_000L
+
+/** An hour; a cold upstream is warm after seconds. */
+private val COLD_MILLIS = 0L..3_600_000L
+
 private fun readRegistration(key: String, value: String) =
     readWireObject(value, key) { entry ->
+        val id = key.removePrefix(SERVER_PREFIX)
+        if (!idPattern.matches(id)) entry.fail("key", "'$id'", "visible ASCII characters")
         val state = entry.string("state")
         if (state != "ready" && state != "draining") entry.fail("state", "'$state'", "'ready' or 'draining'")
         UpstreamRegistration(
-            id = UpstreamId(key.removePrefix(SERVER_PREFIX)),
+            id = UpstreamId(id),
             pool = PoolId(entry.string("service")),
             address = readAddress(entry),
             availabilityZone = AvailabilityZoneId(entry.string("zone")),
             softwareVersion = entry.optionalString("version").orEmpty(),
-            slots = entry.integer("max_batch").toInt(),
+            slots = entry.integerIn("max_batch", SLOTS).toInt(),
             draining = state == "draining",
-            coldFor = (entry.optionalInteger("warmup_left_ms") ?: 0).milliseconds,
+            coldFor = (entry.optionalIntegerIn("warmup_left_ms", COLD_MILLIS) ?: 0).milliseconds,
             startedAtMillis = entry.optionalInteger("born"),
         )
     }
--- a/src/main/kotlin/org/primrosesill/platform/WireJson.kt
+++ b/src/main/kotlin/org/primrosesill/platform/WireJson.kt
@@ -41,6 +41,15 @@
     fun optionalInteger(name: String): Long? =
         field(name, "an integer") { value -> (value as? JsonPrimitive)?.takeIf { !it.isString }?.longOrNull }
 
+    /** Returns an integer in [range], or aborts the decoding. */
+    fun integerIn(name: String, range: LongRange): Long = inRange(name, integer(name), range)
+
+    fun optionalIntegerIn(name: String, range: LongRange): Long? =
+        optionalInteger(name)?.let { inRange(name, it, range) }
+
+    private fun inRange(name: String, value: Long, range: LongRange): Long =
+        if (value in range) value else fail(name, value, "an integer from ${range.first} to ${range.last}")
+
     fun number(name: String): Double =
         field(name, "a number") { value ->
             (value as? JsonPrimitive)?.takeIf { !it.isString }?.doubleOrNull?.takeIf { it.isFinite() }
@@ -108,8 +117,33 @@
     }
 }
 
+/** Far more than any message has. Functions that descend into a value recursively need stack for each level. */
+private const val MAXIMUM_NESTING_DEPTH = 64
+
+/** Returns the largest number of arrays and objects that are open at once in the JSON [text]. */
+private fun nestingDepth(text: String): Int {
+    var depth = 0
+    var deepest = 0
+    var inString = false
+    var escaped = false
+    for (character in text) {
+        when {
+            escaped -> escaped = false
+            inString && character == '\\' -> escaped = true
+            character == '"' -> inString = !inString
+            inString -> Unit
+            character == '[' || character == '{' -> deepest = maxOf(deepest, ++depth)
+            character == ']' || character == '}' -> depth--
+        }
+    }
+    return deepest
+}
+
 /** Parses [text] as a JSON object, called [name] in errors, and returns the result of [decode]. */
 internal fun <T> readWireObject(text: String, name: String, decode: (WireObject) -> T): Either<WireError, T> {
+    if (nestingDepth(text) > MAXIMUM_NESTING_DEPTH) {
+        return WireError(name, "deeply nested JSON", "at most $MAXIMUM_NESTING_DEPTH levels").left()
+    }
     val json =
         try {
             Json.parseToJsonElement(text)
--- a/src/test/kotlin/org/primrosesill/platform/StoreItemsTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreItemsTest.kt
@@ -37,6 +37,22 @@
     "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
     "tenants":[{"name":"c","api_keys":["k1","k2"],"priority":1}],"new_field":{}}"""
 
+private const val NESTING_DEPTH = 100_000
+
+/** Stack of the threads of a gateway, as in deploy/system.toml. */
+private const val STACK_BYTES = 256L * 1024
+
+private fun nested(depth: Int) = "[".repeat(depth) + "]".repeat(depth)
+
+/** Runs [decode] on a thread with the stack that a gateway has, and rethrows what it throws. */
+private fun onControlThreadStack(decode: () -> DecodedItem): DecodedItem {
+    var result: Result<DecodedItem>? = null
+    val thread = Thread(null, { result = runCatching(decode) }, "control", STACK_BYTES)
+    thread.start()
+    thread.join()
+    return checkNotNull(result).getOrThrow()
+}
+
 class StoreItemsTest {
     private val decoder = storeItemDecoder()
 
@@ -80,6 +96,67 @@
                 SERVER.replace("10.0.0.1:80", "host:80"),
                 "servers/i.address: found 'host:80'",
             ),
+            InvalidItem(
+                "a port out of range",
+                "servers/i",
+                SERVER.replace("10.0.0.1:80", "10.0.0.1:80000"),
+                "servers/i.address: found '10.0.0.1:80000'",
+            ),
+            InvalidItem("port 0", "servers/i", SERVER.replace("10.0.0.1:80", "10.0.0.1:0"), "servers/i.address"),
+            InvalidItem(
+                "an octet out of range",
+                "servers/i",
+                SERVER.replace("10.0.0.1", "10.0.0.256"),
+                "servers/i.address",
+            ),
+            InvalidItem(
+                "a host of hexadecimal digits",
+                "servers/i",
+                SERVER.replace("10.0.0.1", "cafe"),
+                "servers/i.address",
+            ),
+            InvalidItem(
+                "a malformed IPv6 address",
+                "servers/i",
+                SERVER.replace("10.0.0.1", "[::::]"),
+                "servers/i.address",
+            ),
+            InvalidItem(
+                "more slots than an integer holds",
+                "servers/i",
+                SERVER.replace("96", "4294967296"),
+                "servers/i.max_batch",
+            ),
+            InvalidItem("no slots", "servers/i", SERVER.replace("96", "0"), "servers/i.max_batch"),
+            InvalidItem(
+                "a number out of range",
+                "servers/i",
+                SERVER.replace("1500", "1e400"),
+                "servers/i.warmup_left_ms",
+            ),
+            InvalidItem(
+                "a cold start longer than the clock holds",
+                "servers/i",
+                SERVER.replace("1500", "9223372036854775807"),
+                "servers/i.warmup_left_ms",
+            ),
+            InvalidItem("a line break in the id", "servers/i\r\nX: 1", SERVER, "servers/i"),
+            InvalidItem(
+                "deeply nested arrays in a field",
+                "servers/i",
+                SERVER.replace("\"a\"", nested(NESTING_DEPTH)),
+                "servers/i: found",
+            ),
+            InvalidItem("deeply nested arrays", "servers/i", nested(NESTING_DEPTH), "servers/i: found"),
+            InvalidItem(
+                "deeply nested objects in a field that is not used",
+                "servers/i",
+                SERVER.replace(
+                    "{\"service\"",
+                    "{\"x\":" + "{\"y\":".repeat(NESTING_DEPTH) + "1" + "}".repeat(NESTING_DEPTH) + ",\"service\"",
+                ),
+                "servers/i: found",
+            ),
             InvalidItem(
                 "an unknown route type",
                 "op/config",
@@ -95,7 +172,7 @@
         ).map { case ->
             dynamicTest(case.name) {
                 expectThat(
-                    decode(case.key, case.value),
+                    onControlThreadStack { decode(case.key, case.value) },
                 ).isA<DecodedItem.Invalid>().get { reason }.contains(case.error)
             }
         }
