Accept no response without a request id on a reused connection

Reported by other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that it had run or was running. Here a response with another request's id is dropped, and the connection on which a refusal arrived is never used again. But a late refusal without an id, on a connection that was reused, was taken for the response: callers got 503, 'not run'. Such a response now fails the call, whose outcome is then unknown, and closes the connection. Requests that may not be repeated always use new connections and were not concerned.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -172,7 +172,7 @@
                 } else {
                     ConnectionUse.NewPersistent
                 },
-            acceptsHead = { dependencies.protocol.matchesRequest(context.metadata.id, it) },
+            matchHead = { dependencies.protocol.matchRequest(context.metadata.id, it) },
         )
     }
 
--- a/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
@@ -10,6 +10,7 @@
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.Prompt
 import org.primrosesill.placement.ReportedLoad
+import org.primrosesill.request.HeadMatch
 import kotlin.time.Duration
 
 /**
@@ -79,7 +80,7 @@
     public fun parse(status: Int, fields: HeaderFields): ResponseMetadata
 
     /** Returns whether a response with [fields] belongs to the request [id]. */
-    public fun matchesRequest(id: RequestId?, fields: HeaderFields): Boolean
+    public fun matchRequest(id: RequestId?, fields: HeaderFields): HeadMatch
 
     /** Returns the fields of an upstream's response that are forwarded to the caller. */
     public fun callerResponseHeaders(fields: HeaderFields): HeaderFields
--- a/src/main/kotlin/org/primrosesill/platform/PlatformHeaderProtocol.kt
+++ b/src/main/kotlin/org/primrosesill/platform/PlatformHeaderProtocol.kt
@@ -15,6 +15,7 @@
 import org.primrosesill.placement.PromptPart
 import org.primrosesill.placement.PromptPartId
 import org.primrosesill.placement.ReportedLoad
+import org.primrosesill.request.HeadMatch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -124,9 +125,13 @@
             retryDelay = if (status == UNAVAILABLE_STATUS) fields[RETRY_AFTER]?.let(::parseSeconds) else null,
         )
 
-    override fun matchesRequest(id: RequestId?, fields: HeaderFields): Boolean {
+    override fun matchRequest(id: RequestId?, fields: HeaderFields): HeadMatch {
         val ids = fields.all(ATTEMPT_ID)
-        return ids.isEmpty() || ids.singleOrNull() == id?.value
+        return when {
+            ids.isEmpty() -> if (id == null) HeadMatch.THIS_CALL else HeadMatch.UNKNOWN
+            ids.singleOrNull() == id?.value -> HeadMatch.THIS_CALL
+            else -> HeadMatch.OTHER_CALL
+        }
     }
 
     override fun callerResponseHeaders(fields: HeaderFields): HeaderFields = forwardedFields(fields, emptySet())
--- a/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
@@ -17,9 +17,7 @@
  * @property headers all header fields except Host, Content-Length and Connection, which the client sets
  * @property timeout time within which the response head must arrive
  * @property host value of the Host header
- * @property acceptsHead returns whether a response with the given header fields belongs to this call. Any other
- *     response is read to its end and dropped, because a late response to an earlier request may arrive first on a
- *     reused connection.
+ * @property matchHead decides whether a response with the given header fields belongs to this call
  */
 public class UpstreamCall(
     public val upstream: UpstreamId,
@@ -32,9 +30,20 @@
     public val timeout: Duration,
     public val host: String = address,
     public val connection: ConnectionUse = ConnectionUse.NonPersistent,
-    public val acceptsHead: (HeaderFields) -> Boolean = { true },
+    public val matchHead: (HeaderFields) -> HeadMatch = { HeadMatch.THIS_CALL },
 )
 
+/** Whether a response belongs to a call. */
+public enum class HeadMatch {
+    THIS_CALL,
+
+    /** A late response to an earlier request on a reused connection. It is read to its end and dropped. */
+    OTHER_CALL,
+
+    /** The response does not state its request. On a reused connection it may be a late one, so that the call fails. */
+    UNKNOWN,
+}
+
 /** The connection that a call may use. */
 public sealed interface ConnectionUse {
     /** A new connection that is closed after the call. */
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -95,7 +95,7 @@
             }
         var reusable = false
         try {
-            connection.send(requestMessageOf(call), call.acceptsHead)
+            connection.send(requestMessageOf(call), call.matchHead)
             val head =
                 when (val received = withTimeoutOrNull(call.timeout) { connection.receive() }) {
                     null -> return ExchangeResult.TimedOut
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.primrosesill.model.HeaderFields
+import org.primrosesill.request.HeadMatch
 import kotlinx.coroutines.channels.Channel as EventChannel
 
 /** An event in the reception of a response. */
@@ -68,7 +69,7 @@
     private var framed = true
     private var failure: String? = null
     private var lastWrite: ChannelFuture? = null
-    private var acceptsHead: (HeaderFields) -> Boolean = { true }
+    private var matchHead: (HeaderFields) -> HeadMatch = { HeadMatch.THIS_CALL }
 
     /** Bytes received between the request and the head of its response. */
     private var bytesBeforeResponse = 0
@@ -94,12 +95,12 @@
     val isReusable: Boolean
         get() = isOpen && !inExchange && !decoder.hasUndecodedBytes && failure == null && lastWrite?.isSuccess == true
 
-    /** Sends [request]. Responses whose header fields do not satisfy [acceptsHead] are discarded. */
-    fun send(request: DefaultFullHttpRequest, acceptsHead: (HeaderFields) -> Boolean) {
+    /** Sends [request]. Responses that belong to other calls by [matchHead] are discarded. */
+    fun send(request: DefaultFullHttpRequest, matchHead: (HeaderFields) -> HeadMatch) {
         inExchange = true
         responseStarted = false
         bytesBeforeResponse = 0
-        this.acceptsHead = acceptsHead
+        this.matchHead = matchHead
         requestCount++
         decoder.isHeadRequest = request.method() == HttpMethod.HEAD
         lastWrite = channel.writeAndFlush(request)
@@ -183,7 +184,13 @@
                 message,
             ) || HttpUtil.isContentLengthSet(message) ||
             message.status().code() in BODILESS_STATUSES
-        mismatched = !acceptsHead(message.headers().toHeaderFields())
+        val match = matchHead(message.headers().toHeaderFields())
+        if (match == HeadMatch.UNKNOWN &&
+            requestCount > 1
+        ) {
+            return fail("response without a request id on a reused connection")
+        }
+        mismatched = match == HeadMatch.OTHER_CALL
         if (mismatched) return
         responseStarted = true
         events.trySend(ResponseEvent.Head(message))
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -168,9 +168,10 @@
         method: String = "POST",
         headers: HeaderFields = HeaderFields(),
         body: String = "",
+        id: String = "r1",
     ): RecordingResponse {
         val fields =
-            headerFieldsOf("Host" to "h.example", "X-Attempt-Id" to "r1", "Authorization" to "Bearer $CREDENTIAL") +
+            headerFieldsOf("Host" to "h.example", "X-Attempt-Id" to id, "Authorization" to "Bearer $CREDENTIAL") +
                 headers
         val request = InboundRequest(method, target, fields, body.toByteArray(), TimeSource.Monotonic.markNow())
         return RecordingResponse().also { handler.handle(request, it) }
--- a/src/test/kotlin/org/primrosesill/platform/PlatformHeaderProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/PlatformHeaderProtocolTest.kt
@@ -17,6 +17,7 @@
 import org.primrosesill.placement.PromptPart
 import org.primrosesill.placement.PromptPartId
 import org.primrosesill.placement.ReportedLoad
+import org.primrosesill.request.HeadMatch
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
@@ -196,10 +197,11 @@
     @Test
     fun `a response belongs to the request whose id it repeats`() {
         val id = RequestId("r1")
-        expectThat(protocol.matchesRequest(id, headerFieldsOf("X-Attempt-Id" to "r1"))).isEqualTo(true)
-        expectThat(protocol.matchesRequest(id, headerFieldsOf("X-Attempt-Id" to "r2"))).isEqualTo(false)
+        expectThat(protocol.matchRequest(id, headerFieldsOf("X-Attempt-Id" to "r1"))).isEqualTo(HeadMatch.THIS_CALL)
+        expectThat(protocol.matchRequest(id, headerFieldsOf("X-Attempt-Id" to "r2"))).isEqualTo(HeadMatch.OTHER_CALL)
+        expectThat(protocol.matchRequest(id, headerFieldsOf())).isEqualTo(HeadMatch.UNKNOWN)
         expectThat(
-            protocol.matchesRequest(id, headerFieldsOf("X-Attempt-Id" to "r1", "X-Attempt-Id" to "r2")),
-        ).isEqualTo(false)
+            protocol.matchRequest(id, headerFieldsOf("X-Attempt-Id" to "r1", "X-Attempt-Id" to "r2")),
+        ).isEqualTo(HeadMatch.OTHER_CALL)
     }
 }
--- a/src/test/kotlin/org/primrosesill/transport/ConnectionReuseTest.kt
+++ b/src/test/kotlin/org/primrosesill/transport/ConnectionReuseTest.kt
@@ -12,12 +12,12 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.concurrent.throwingReporter
-import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.model.headerFieldsOf
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.ConnectionUse
 import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.HeadMatch
 import org.primrosesill.request.UpstreamCall
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -46,7 +46,7 @@
             body = null,
             timeout = timeout,
             connection = connection,
-            acceptsHead = { fields: HeaderFields -> fields["Id"] == id },
+            matchHead = { if (it["Id"] == id) HeadMatch.THIS_CALL else HeadMatch.OTHER_CALL },
         )
 
     private suspend fun send(address: String, id: String, connection: ConnectionUse = ConnectionUse.Pooled(5.seconds)) =
--- a/src/test/kotlin/org/primrosesill/transport/EndlessInputTest.kt
+++ b/src/test/kotlin/org/primrosesill/transport/EndlessInputTest.kt
@@ -12,6 +12,7 @@
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.HeadMatch
 import org.primrosesill.request.UpstreamCall
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -82,7 +83,7 @@
             HeaderFields(),
             body = null,
             timeout = 20.seconds,
-            acceptsHead = { it["X-Id"] != "other" },
+            matchHead = { if (it["X-Id"] == "other") HeadMatch.OTHER_CALL else HeadMatch.THIS_CALL },
         )
 
     private companion object {
