--- a/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
@@ -32,6 +32,7 @@
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.RouterId
+import org.primrosesill.placement.CrashingParts
 import org.primrosesill.placement.PromptCacheIndex
 import org.primrosesill.placement.SilentUpstreams
 import org.primrosesill.placement.UpstreamActivity
@@ -106,6 +107,10 @@
     val platform: SimulatedPlatform = SimulatedPlatform(),
 ) {
     val nodes = List(settings.size) { Node(it) }
+
+    /** Number of datagrams sent so far. */
+    var datagrams = 0
+        private set
     private val byAddress = nodes.associateBy { it.self.address }
 
     fun start() = nodes.forEach { it.start() }
@@ -136,11 +141,13 @@
         private val uplink = SimulatedLink(settings.linkBytesPerMilli)
         private val downlink = SimulatedLink(settings.linkBytesPerMilli)
         private val activity = UpstreamActivity { scope.currentTime }
+        val crashingParts = CrashingParts { scope.currentTime }
         private val trafficGossip =
             TrafficGossip(
                 UpstreamLoads(activity) { scope.currentTime },
                 PromptCacheIndex { scope.currentTime },
                 SilentUpstreams("self", activity) { scope.currentTime },
+                crashingParts,
             )
         private val seeds = List(SEEDS) { "10.0.0.$it:80" }.toSet()
         private val startupReadPolicy =
@@ -212,6 +219,7 @@
         }
 
         private fun deliver(address: String, message: ExchangeMessage) {
+            datagrams++
             val peer = byAddress[address] ?: return
             scope.backgroundScope.launch {
                 delay(LATENCY_MILLIS)
