Log how a complete response of an upstream ended

request-finished said only the status, so that a response taken for complete because its connection was closed looked like one ended by its framing. The line now says how the response ended, and how many events a stream had.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -14,8 +14,8 @@
     val connectionLost: Boolean get() = false
 
     /** The caller has received the complete response. */
-    class Delivered(val status: Int) : AttemptOutcome {
-        override val description = "status $status"
+    class Delivered(val status: Int, end: ResponseEnd) : AttemptOutcome {
+        override val description = "status $status, $end"
     }
 
     /** No byte of the request left this router. */
@@ -47,6 +47,18 @@
     }
 }
 
+/**
+ * How a complete response ended, for the event log.
+ *
+ * @property events number of events of a stream, or null for another response
+ */
+internal data class ResponseEnd(val closeDelimited: Boolean, val events: Int? = null) {
+    override fun toString(): String {
+        val end = if (closeDelimited) "ended by the close of its connection" else "ended by its framing"
+        return if (events == null) end else "$events events, $end"
+    }
+}
+
 /**
  * The response to the caller if no later attempt succeeds: preferably the error response of an upstream rather than a
  * failure reported by this router.
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -94,7 +94,7 @@
         }
         if (response.status < 500) dependencies.activity.recordSuccess(upstream.id)
         callerResponse.respond(headOf(response), buffer.toByteArray())
-        return AttemptOutcome.Delivered(response.status)
+        return AttemptOutcome.Delivered(response.status, ResponseEnd(response.closeDelimited))
     }
 
     /**
@@ -138,7 +138,7 @@
         }
         callerResponse.finish()
         if (response.status < 500) dependencies.activity.recordSuccess(upstream.id)
-        return AttemptOutcome.Delivered(response.status)
+        return AttemptOutcome.Delivered(response.status, ResponseEnd(response.closeDelimited))
     }
 
     private suspend fun relayStream(
@@ -150,6 +150,7 @@
     ): AttemptOutcome {
         val reader = EventStreamReader(response.body)
         var firstEventReceived = false
+        var eventCount = 0
         while (true) {
             when (val part = reader.next(eventTimeout(context, firstEventReceived))) {
                 is StreamPart.Events -> {
@@ -160,6 +161,7 @@
                         dependencies.metrics.responseStarted(context.pool, context.request.arrivedAt.elapsedNow())
                     }
                     if (!callerResponse.started) callerResponse.start(headOf(response))
+                    eventCount += part.events.size
                     for (event in part.events) {
                         event.id?.let { context.lastEventId = it }
                         callerResponse.write(event.bytes)
@@ -176,7 +178,7 @@
                     if (part.comments.isNotEmpty()) callerResponse.write(part.comments)
                     callerResponse.finish()
                     dependencies.activity.recordSuccess(upstream.id)
-                    return AttemptOutcome.Delivered(response.status)
+                    return AttemptOutcome.Delivered(response.status, ResponseEnd(response.closeDelimited, eventCount))
                 }
             }
         }
--- a/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
@@ -79,11 +79,13 @@
  * The response of an upstream, whose body is still arriving.
  *
  * @property reason reason phrase of the status line
+ * @property closeDelimited whether the body has neither a length nor chunks, so that it ends when its connection is closed
  */
 public class UpstreamResponse(
     public val status: Int,
     public val headers: HeaderFields,
     public val reason: String = "",
+    public val closeDelimited: Boolean = false,
     public val body: UpstreamBody,
 ) {
     /** Returns the first value of the header [name]. */
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -99,14 +99,14 @@
             val head =
                 when (val received = withTimeoutOrNull(call.timeout) { connection.receive() }) {
                     null -> return ExchangeResult.TimedOut
-                    is ResponseEvent.Head -> received.response
+                    is ResponseEvent.Head -> received
                     is ResponseEvent.Failed -> return ExchangeResult.ConnectionFailed(received.reason)
                     else -> return ExchangeResult.ConnectionFailed("received a response body before its head")
                 }
             val body = ConnectionResponseBody(connection, settings.acceptsCloseDelimited)
-            val value = use(responseOf(head, body))
-            reusable = body.endedFramed && keepsConnectionOpen(call, head) && connection.isReusable
-            if (reusable) idleConnections.release(call.address, connection, keepAliveTimeout(head))
+            val value = use(responseOf(head.response, head.framed, body))
+            reusable = body.endedFramed && keepsConnectionOpen(call, head.response) && connection.isReusable
+            if (reusable) idleConnections.release(call.address, connection, keepAliveTimeout(head.response))
             return ExchangeResult.Responded(value)
         } finally {
             if (!reusable) connection.close()
@@ -153,8 +153,14 @@
             }
         }
 
-    private fun responseOf(head: HttpResponse, body: UpstreamBody) =
-        UpstreamResponse(head.status().code(), head.headers().toHeaderFields(), head.status().reasonPhrase(), body)
+    private fun responseOf(head: HttpResponse, framed: Boolean, body: UpstreamBody) =
+        UpstreamResponse(
+            head.status().code(),
+            head.headers().toHeaderFields(),
+            head.status().reasonPhrase(),
+            closeDelimited = !framed,
+            body,
+        )
 
     private fun keepsConnectionOpen(call: UpstreamCall, head: HttpResponse) =
         call.connection != ConnectionUse.NonPersistent && HttpUtil.isKeepAlive(head)
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -26,7 +26,8 @@
 
 /** An event in the reception of a response. */
 internal sealed interface ResponseEvent {
-    class Head(val response: HttpResponse) : ResponseEvent
+    /** [framed] is false if only the close of the connection will mark the end of the body. */
+    class Head(val response: HttpResponse, val framed: Boolean) : ResponseEvent
 
     class Body(val bytes: ByteArray) : ResponseEvent
 
@@ -193,7 +194,7 @@
         mismatched = match == HeadMatch.OTHER_CALL
         if (mismatched) return
         responseStarted = true
-        events.trySend(ResponseEvent.Head(message))
+        events.trySend(ResponseEvent.Head(message, framed))
     }
 
     private fun processContent(message: HttpContent) {
