Reset the connection of an HTTP/1.0 caller when its response is truncated

Callers of HTTP/1.0 saw each truncated response as complete: without chunks only the close of the connection ends it, and an abort, a failure of the handler, the end of a planned stop and the exit of the process all closed it in order. SO_LINGER is now 0 from the head of such a response until its last byte has been written, so that every earlier close is a reset.

--- a/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -141,7 +142,18 @@
 
     private fun closeAfterWrites() {
         closing = true
-        channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER).addListener { close() }
+        channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER).addListener { written ->
+            if (written.isSuccess) channel.config().setOption(ChannelOption.SO_LINGER, LINGER_DISABLED)
+            close()
+        }
+    }
+
+    /**
+     * Lets any close of the connection, also that at the end of the process, reset it, until a complete response has been
+     * written. Needed when an orderly close would tell the caller that the response is complete.
+     */
+    fun resetOnClose() {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
     }
 
     /** Rejects a request that is not read to its end and closes the connection, since the next one cannot be located. */
@@ -178,6 +190,9 @@
 
     private companion object {
         const val MAXIMUM_PIPELINED_MESSAGES = 16
+
+        /** Value of SO_LINGER for an orderly close. */
+        const val LINGER_DISABLED = -1
     }
 }
 
--- a/src/main/kotlin/org/primrosesill/transport/NettyResponse.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyResponse.kt
@@ -30,7 +30,10 @@
     private val channel = connection.channel
     private val isHeadRequest get() = request.method() == HttpMethod.HEAD
 
-    /** HTTP/1.0 has no chunked encoding: closing the connection marks the end of the response. */
+    /**
+     * HTTP/1.0 has no chunked encoding: an orderly close of the connection marks the end of the response, and a reset
+     * marks a truncated one.
+     */
     private val chunked = request.protocolVersion() == HttpVersion.HTTP_1_1
 
     override var started = false
@@ -64,7 +67,12 @@
         started = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, responseStatus(head))
         response.headers().addAll(head.headers)
-        if (chunked) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "chunked") else closesConnection = true
+        if (chunked) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "chunked")
+        } else {
+            closesConnection = true
+            connection.resetOnClose()
+        }
         setConnectionField(response)
         channel.writeAndFlush(response)
     }
