Treat an unframed response without a byte of its body as truncated

A response with neither a length nor chunks ends with its connection, so that an upstream that crashed after the head of its response looked as if it had answered with an empty one: callers got a complete 200 with no event or no byte. Such a response is now truncated: the request is retried where it may be, and fails with 502 otherwise. A body that is meant to be empty has a length. Whole unframed responses are delivered as before.

--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -30,7 +30,7 @@
         dependencies.activity.recordData(upstream.id)
         metadata.load?.let { dependencies.loads.recordReported(upstream.id, it.running + it.waiting) }
         recordNotices(metadata, upstream, context)
-        val success = response.status in 200..299
+        val success = response.status in SUCCESS_STATUSES
         return when {
             metadata.notRun -> AttemptOutcome.NotRun("status ${response.status}")
             metadata.contentEncoded -> AttemptOutcome.Unknown("response body has a content encoding")
@@ -74,6 +74,10 @@
             dependencies.activity.recordConnectionFailure(upstream.id)
             return AttemptOutcome.Unknown(end.reason, connectionLost = end !== DEADLINE_PASSED)
         }
+        if (response.closeDelimited && buffer.size() == 0 && response.status in SUCCESS_STATUSES) {
+            dependencies.activity.recordConnectionFailure(upstream.id)
+            return AttemptOutcome.Unknown("connection closed before the first byte of the body", connectionLost = true)
+        }
         if (response.status >= 500) dependencies.activity.recordErrorResponse(upstream.id)
         if (callerResponse.started) {
             return AttemptOutcome.Unknown("resuming the stream failed with status ${response.status}")
@@ -174,6 +178,11 @@
                     return interruptedOutcome(context, callerResponse, part)
                 }
                 is StreamPart.End -> {
+                    if (response.closeDelimited && eventCount == 0) {
+                        val reason = "connection closed before the first event"
+                        dependencies.activity.recordConnectionFailure(upstream.id)
+                        return interruptedOutcome(context, callerResponse, StreamPart.Interrupted(reason, true))
+                    }
                     if (!callerResponse.started) callerResponse.start(headOf(response))
                     if (part.comments.isNotEmpty()) callerResponse.write(part.comments)
                     callerResponse.finish()
@@ -210,6 +219,7 @@
         ResponseHead(response.status, protocol.callerResponseHeaders(response.headers), response.reason)
 
     private companion object {
+        val SUCCESS_STATUSES = 200..299
         val STATUSES_IMPLYING_NOT_RUN = setOf(408, 421, 429, 503)
         val DEADLINE_PASSED = BodyPart.Truncated("the deadline passed")
 
