Truncate a stream that ends together with other connections of its upstream

An unframed stream whose upstream crashes exactly between two of its events ends in order, and looked complete. A crash closes all connections at once, so the end of such a stream is now held for 80 ms, longer than the interval of batched reads: if another exchange with the upstream lost its connection within 200 ms and no data arrived since, the stream counts as truncated. Without such evidence it is whole: events, which callers wait for, are not held, only the end is. An upstream with a single request in flight gives no evidence; that case stays open. TruncatedResponseTest: both cases pass, and ForwarderTest.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -55,6 +55,7 @@
             ?.let { Failure.CrashingPrompt(it.id.value) }
 
     private fun recordCrashEvidence(context: RequestContext, upstream: UpstreamId, outcome: AttemptOutcome) {
+        if (outcome.connectionLost) dependencies.activity.recordConnectionLost(upstream)
         val prompt = context.metadata.prompt ?: return
         if (outcome.connectionLost) {
             dependencies.crashingParts.recordCrash(prompt, upstream)
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -5,6 +5,7 @@
  */
 package org.primrosesill.forwarding
 
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.generated.EventType
@@ -14,6 +15,7 @@
 import org.primrosesill.route.RouteKind
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 internal class ResponseRelay(private val dependencies: ForwarderDependencies) {
     private val protocol = dependencies.protocol
@@ -186,9 +188,8 @@
                     return interruptedOutcome(context, callerResponse, part)
                 }
                 is StreamPart.End -> {
-                    // An upstream that resumes a stream and adds nothing to it may not hold the rest of it.
-                    if (eventCount == 0 && (response.closeDelimited || resumed)) {
-                        val reason = "the response ended before its first event"
+                    val reason = truncationReason(upstream, response, resumed, eventCount)
+                    if (reason != null) {
                         dependencies.activity.recordConnectionFailure(upstream.id)
                         return interruptedOutcome(
                             context,
@@ -206,6 +207,21 @@
         }
     }
 
+    /** Returns why a stream whose response has ended without an error is truncated nevertheless, or null if it is whole. */
+    private suspend fun truncationReason(
+        upstream: KnownUpstream,
+        response: UpstreamResponse,
+        resumed: Boolean,
+        eventCount: Int,
+    ): String? {
+        // An upstream that resumes a stream and adds nothing to it may not hold the rest of it.
+        if (eventCount == 0 && (response.closeDelimited || resumed)) return "the response ended before its first event"
+        if (!response.closeDelimited) return null
+        delay(CRASH_EVIDENCE_DELAY)
+        val crashed = dependencies.activity.seemsCrashed(upstream.id)
+        return if (crashed) "the connection was closed together with others to the upstream" else null
+    }
+
     /**
      * Limits the wait for an event of a stream that can be resumed, so that it moves to another upstream after a stall.
      */
@@ -234,6 +250,9 @@
     private companion object {
         val SUCCESS_STATUSES = 200..299
         const val EVENT_STREAM = "text/event-stream"
+
+        /** Longer than the interval of batched reads, after which the end of every other connection has been noticed. */
+        val CRASH_EVIDENCE_DELAY = 80.milliseconds
         val STATUSES_IMPLYING_NOT_RUN = setOf(408, 421, 429, 503)
         val DEADLINE_PASSED = BodyPart.Truncated("the deadline passed")
 
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
@@ -117,6 +117,22 @@
         record.suspectUntilMillis = nowMillis() + backoff
     }
 
+    /** Records that a connection to [upstream] was lost within an exchange. */
+    public fun recordConnectionLost(upstream: UpstreamId) {
+        record(upstream).connectionLostAtMillis = nowMillis()
+    }
+
+    /**
+     * Returns whether a connection to [upstream] was lost within [CRASH_WINDOW_MILLIS] and no data arrived from it since, as
+     * when it crashed. A crash closes all connections at once, in order or by a reset.
+     */
+    public fun seemsCrashed(upstream: UpstreamId): Boolean {
+        val record = records[upstream] ?: return false
+        val lostAt = record.connectionLostAtMillis ?: return false
+        val lastDataAt = record.lastDataAtMillis ?: lostAt
+        return nowMillis() - lostAt <= CRASH_WINDOW_MILLIS && lastDataAt <= lostAt + SIMULTANEOUS_READS_MILLIS
+    }
+
     /** Removes the records of upstreams that are not in [known] and have no requests in flight. */
     public fun retain(known: Set<UpstreamId>) {
         records.entries.removeIf { it.key !in known && it.value.inFlight == 0 }
@@ -134,6 +150,7 @@
 
         @Volatile
         var lastDataAtMillis: Long? = null
+        var connectionLostAtMillis: Long? = null
         var pendingPrefillTokens = 0
         var consecutiveFailures = 0
         var suspectUntilMillis = 0L
@@ -167,6 +184,10 @@
 
     private companion object {
         const val INITIAL_BACKOFF_MILLIS = 250L
+        const val CRASH_WINDOW_MILLIS = 200L
+
+        /** Time within which the traffic thread processes the input of all connections that were closed at once. */
+        const val SIMULTANEOUS_READS_MILLIS = 10L
         const val ZONE_RESPONSE_MILLIS = 700L
 
         /** Longer than a heavily loaded upstream takes to send something for one of its requests. */
--- a/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
@@ -4,6 +4,10 @@
  */
 package org.primrosesill.forwarding
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest
@@ -23,6 +27,9 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.TimeSource
 
 private const val REQUEST_ID = "r1"
 private const val SIGNED = "X-Attempt-Id: $REQUEST_ID\r\nX-Server-Signature: s\r\n"
@@ -169,6 +176,56 @@
             }
         }
 
+    // Guards against a stream that looks complete because its engine crashed exactly between two of its events, and against
+    // a whole stream that looks truncated because its engine broke off another one.
+    @TestFactory
+    fun `a stream that ends together with other connections of its engine is truncated`(): List<DynamicTest> =
+        listOf(true to "200 aborted", false to "200").map { (crashes, result) ->
+            dynamicTest(if (crashes) "the engine crashes" else "the engine goes on") {
+                val close = CountDownLatch(1)
+                RawUpstream { connection -> serveUntil(close, connection, crashes) }.use { upstream ->
+                    expectThat(endOfStreamBeside(upstream, close)).isEqualTo(result)
+                }
+            }
+        }
+
+    /** Serves a stream that ends within an event, one that ends between two, and one that goes on unless [crashes]. */
+    private fun serveUntil(close: CountDownLatch, connection: RawConnection, crashes: Boolean) {
+        val target = connection.readRequest().substringBefore(" HTTP/")
+        connection.write(head() + event(1))
+        if (target.endsWith("broken")) connection.write("id: 2\nda")
+        var next = 2
+        while (!close.await(10, TimeUnit.MILLISECONDS)) if (target.endsWith("other")) connection.write(event(next++))
+        if (!target.endsWith("other") || crashes) return
+        repeat(20) {
+            connection.write(event(next++))
+            Thread.sleep(10)
+        }
+    }
+
+    /** Returns how the stream that ends between two events ended for its caller. */
+    private fun endOfStreamBeside(upstream: RawUpstream, close: CountDownLatch): String =
+        runBlocking {
+            val client = nettyUpstreamClient(loop, UpstreamClientSettings(acceptsCloseDelimited = true))
+            val fixture = ForwardingFixture(client, upstreams = listOf(known("u1", upstream)))
+            val started = TimeSource.Monotonic.markNow()
+            val clock =
+                launch {
+                    while (true) {
+                        fixture.nowMillis = started.elapsedNow().inWholeMilliseconds
+                        delay(1)
+                    }
+                }
+            val streams = listOf("whole", "broken", "other").map { async { fixture.send("/stream/$it") } }
+            delay(300)
+            close.countDown()
+            streams
+                .awaitAll()
+                .first()
+                .result
+                .also { clock.cancel() }
+        }
+
     private class ResumeCase(
         val name: String,
         val second: Script,
