--- a/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
@@ -24,12 +24,18 @@
 /** Behaviour of the store: normal, rejecting all requests, or not responding. */
 enum class StoreMode { NORMAL, UNAVAILABLE, UNRESPONSIVE }
 
+/** The content of a [StoreStandIn] at one moment, from which it can be restored. */
+class StoreCopy internal constructor(internal val items: Map<String, Any>, internal val revision: Long)
+
 /** An in-memory store. Requests are handled on the traffic thread of [loop]; [write] may be called from any thread. */
 class StoreStandIn(private val loop: TrafficLoop) : RequestHandler {
     private class Item(val value: String?, val revision: Long)
 
     private val items = java.util.TreeMap<String, Item>()
     private var revision = 1L
+
+    /** Number of times that the store was restored from a copy, plus one. */
+    private var era = 1L
     private var nextChange = CompletableDeferred<Unit>()
 
     @Volatile
@@ -45,6 +51,23 @@
         nextChange = CompletableDeferred()
     }
 
+    @Synchronized
+    fun copy(): StoreCopy = StoreCopy(items.toMap(), revision)
+
+    /** Returns to the content and the revision of [copy]: later writes are lost, and their revisions are given out again. */
+    @Synchronized
+    fun restore(copy: StoreCopy) {
+        items.clear()
+        copy.items.forEach { (key, item) -> items[key] = item as Item }
+        revision = copy.revision
+        era++
+        nextChange.complete(Unit)
+        nextChange = CompletableDeferred()
+    }
+
+    @Synchronized
+    private fun headOf(status: Int) = ResponseHead(status, headerFieldsOf("Store-Era" to "$era"))
+
     override suspend fun handle(request: InboundRequest, response: OutboundResponse) {
         calls.incrementAndGet()
         when (mode) {
@@ -59,8 +82,14 @@
             }
         val prefix = java.net.URLDecoder.decode(query["path_prefix"].orEmpty(), Charsets.UTF_8)
         when (request.path) {
-            "/api/kv-range" -> response.respond(ResponseHead(200), range(prefix).toByteArray())
-            "/api/kv-watch" -> response.respond(ResponseHead(200), watch(query).toByteArray())
+            "/api/kv-range" -> {
+                val body = range(prefix).toByteArray()
+                response.respond(headOf(200), body)
+            }
+            "/api/kv-watch" -> {
+                val body = watch(query)
+                if (body == null) response.respond(headOf(410)) else response.respond(headOf(200), body.toByteArray())
+            }
             else -> response.respond(ResponseHead(404))
         }
     }
@@ -74,12 +103,16 @@
         return """{"entries":[${entries.joinToString(",")}],"has_more":false,"at":$revision}"""
     }
 
-    private suspend fun watch(query: Map<String, String>): String {
+    /** Returns the changes after the requested revision, or null if the store does not have that revision. */
+    private suspend fun watch(query: Map<String, String>): String? {
         val after = query["after"]?.toLong() ?: 0
         val wait = query["wait_ms"]?.toLong() ?: 0
-        val next = synchronized(this) { if (eventsAfter(after).isEmpty()) nextChange else null }
+        val next = synchronized(this) { if (after == revision) nextChange else null }
         if (next != null) withTimeoutOrNull(wait) { next.await() }
-        return synchronized(this) { """{"events":[${eventsAfter(after).joinToString(",")}],"at":$revision}""" }
+        return synchronized(this) {
+            val events = eventsAfter(after).joinToString(",")
+            if (after > revision) null else """{"events":[$events],"at":$revision}"""
+        }
     }
 
     private fun eventsAfter(after: Long): List<String> =
