Count a request whose body is being received as in flight

A planned stop closed the connections of callers that were still sending the body of a request as soon as no other request was being handled: 2.6 s after the stop began they got no answer at all. Such a request is now in flight from its head on, so that the stop waits for it.

--- a/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
@@ -38,6 +38,11 @@
 internal class CallerConnection(val channel: Channel, private val connections: CallerConnections) :
     ChannelInboundHandlerAdapter() {
     private var receiving: PendingRequest? = null
+        set(value) {
+            if (field == null && value != null) connections.requestStarted()
+            if (field != null && value == null) connections.requestEnded()
+            field = value
+        }
     private var job: Job? = null
     private val pipelined = ArrayDeque<Any>()
     private var timeout: ScheduledFuture<*>? = null
@@ -108,6 +113,7 @@
     }
 
     private fun serve(request: PendingRequest) {
+        connections.requestStarted()
         receiving = null
         timeout?.cancel(false)
         val inbound =
@@ -119,7 +125,6 @@
                 request.arrivedAt,
             )
         val response = NettyResponse(this, request.head, connections.loop.allocator)
-        connections.requestStarted()
         val handlerJob =
             connections.loop.scope.launch(start = CoroutineStart.LAZY) {
                 connections.handler.handle(inbound, response)
@@ -172,6 +177,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timeout?.cancel(false)
+        receiving = null
         job?.cancel()
         pipelined.forEach { ReferenceCountUtil.release(it) }
         pipelined.clear()
--- a/src/main/kotlin/org/primrosesill/transport/HttpListener.kt
+++ b/src/main/kotlin/org/primrosesill/transport/HttpListener.kt
@@ -38,7 +38,7 @@
 public interface HttpListener {
     public val port: Int
 
-    /** Number of requests that are being handled. */
+    /** Number of requests that are being received or handled. */
     public val inFlight: Int
 
     /** Drains the listener: each connection is closed after its current or next response. */
