Reject a request that may outlast the grace period of a planned stop

A gateway that was being stopped passed on requests whose bodies ended late, or whose timeout was longer than the rest of the grace period, and cut them at its end without an answer, bookings among them. PlannedStop decides by the kind, the time left and the time until the cut: a request that may last longer gets 503 at once, which says that it was not run, with a Retry-After of 100 ms. Streams and reads are accepted while callers are still routed here, as they usually end long before their deadline.

--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -6,6 +6,7 @@
 
 import arrow.core.Either
 import arrow.core.raise.either
+import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import kotlinx.coroutines.CancellationException
 import org.primrosesill.discovery.DirectoryView
@@ -27,11 +28,13 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /**
  * The components that request forwarding uses.
  *
  * @property onCrashEvidence called when peers should receive the evidence in [crashingParts] at once
+ * @property plannedStop returns the stop of this gateway that has begun, or null
  */
 public class ForwarderDependencies(
     public val view: () -> DirectoryView,
@@ -48,6 +51,7 @@
     public val client: UpstreamClient,
     public val metrics: ForwardingMetrics,
     public val events: ForwardingEvents,
+    public val plannedStop: () -> PlannedStop? = { null },
     public val random: Random = Random.Default,
 )
 
@@ -60,6 +64,9 @@
  */
 private val CONFIGURATION_TIMEOUT = 800.milliseconds
 
+/** Short, as the other gateways serve the request at once. */
+private val STOPPING_RETRY_AFTER = 100.milliseconds
+
 private class Forwarder(private val dependencies: ForwarderDependencies) : RequestHandler {
     private val attempts = AttemptLoop(dependencies)
 
@@ -94,9 +101,17 @@
             val account = authenticate(configuration, route, metadata).bind()
             val timeLeft = metadata.timeLeft
             val timeout = if (timeLeft == null) route.timeout else minOf(timeLeft, route.timeout)
-            RequestContext(request, metadata, route, account, selectPool(route), request.arrivedAt + timeout)
+            val context =
+                RequestContext(request, metadata, route, account, selectPool(route), request.arrivedAt + timeout)
+            ensure(isAcceptedBeforeStop(context)) { Failure.Stopping(STOPPING_RETRY_AFTER) }
+            context
         }
 
+    private fun isAcceptedBeforeStop(context: RequestContext): Boolean {
+        val now = TimeSource.Monotonic.markNow()
+        return dependencies.plannedStop()?.accepts(context.route, context.timeLeft(), now) ?: true
+    }
+
     private fun authenticate(
         configuration: ServingConfiguration,
         route: Route,
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -18,6 +18,7 @@
 import org.primrosesill.exchange.UpdateSource
 import org.primrosesill.exchange.shortCode
 import org.primrosesill.forwarding.ForwarderDependencies
+import org.primrosesill.forwarding.PlannedStop
 import org.primrosesill.forwarding.PlatformAdapter
 import org.primrosesill.forwarding.PoolRetryBudget
 import org.primrosesill.forwarding.RequestHandler
@@ -67,8 +68,9 @@
     val controlThread = ControlThread()
     val controlScope = CoroutineScope(SupervisorJob() + controlThread.dispatcher + exceptionHandler(exceptionReporter))
 
+    /** The stop of this gateway that has begun, or null. */
     @Volatile
-    var stopping = false
+    var plannedStop: PlannedStop? = null
 
     @Volatile
     private var viewAgeMillis = -1L
@@ -164,6 +166,7 @@
                 events = { type, request, upstream, cause ->
                     events.record(type, cause, EventSubject(request = request, upstream = upstream))
                 },
+                plannedStop = { plannedStop },
             ),
         )
 
@@ -191,7 +194,8 @@
         metrics.gauge("configuration.version") { directory.view.configuration?.version ?: 0 }
     }
 
-    fun isReady(): Boolean = !stopping && directory.view.configuration != null && directory.view.upstreams.isNotEmpty()
+    fun isReady(): Boolean =
+        plannedStop == null && directory.view.configuration != null && directory.view.upstreams.isNotEmpty()
 
     fun callerLimits(): ListenerLimits {
         val limits = directory.view.configuration?.limits ?: return ListenerLimits()
--- a/src/main/kotlin/org/primrosesill/gateway/StopSequence.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/StopSequence.kt
@@ -1,26 +1,28 @@
 /*
  * Graceful stop: the gateway reports that it is not ready, serves new requests until the platform sends no more of
- * them, waits for its requests in flight to end, and closes.
+ * them, waits for its requests in flight to end, and closes. A request that may last beyond the end is rejected at once.
  */
 package org.primrosesill.gateway
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import org.primrosesill.forwarding.PlannedStop
 import org.primrosesill.generated.EventType
 import org.primrosesill.transport.HttpListener
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 internal class StopSequence(private val components: GatewayComponents, private val listener: HttpListener) {
     suspend fun run() {
-        val started = monotonicMillis()
-        components.stopping = true
+        val grace = (components.settings.stopGraceMillis - EXIT_RESERVE_MILLIS).milliseconds
+        val now = TimeSource.Monotonic.markNow()
+        components.plannedStop = PlannedStop(now + READINESS_DELAY, now + grace)
         listener.startDraining()
         withContext(components.controlThread.dispatcher) { components.fleet.leave() }
         components.events.record(EventType.PROCESS_STOPPING, "stop requested, ${listener.inFlight} requests in flight")
         delay(READINESS_DELAY)
         listener.closeIdle()
-        val graceMillis = components.settings.stopGraceMillis - EXIT_RESERVE_MILLIS
-        while (listener.inFlight > 0 && monotonicMillis() - started < graceMillis) delay(POLL_INTERVAL)
+        while (listener.inFlight > 0 && now.elapsedNow() < grace) delay(POLL_INTERVAL)
         components.events.record(EventType.PROCESS_STOPPED, "${listener.inFlight} requests still in flight")
         listener.close()
     }
--- a/src/main/kotlin/org/primrosesill/model/Failure.kt
+++ b/src/main/kotlin/org/primrosesill/model/Failure.kt
@@ -172,8 +172,8 @@
         Failure("internal-error", 500, "The router failed", "see the router log for the cause", ran = Ran.UNKNOWN)
 
     /** The router is stopping. */
-    public class Stopping :
-        Failure("stopping", 503, "The router is stopping", "no new requests are accepted", retryAfter = 1.seconds)
+    public class Stopping(retryAfter: Duration = 1.seconds) :
+        Failure("stopping", 503, "The router is stopping", "no new requests are accepted", retryAfter = retryAfter)
 
     /** The router has no configuration yet. */
     public class NotReady :
