--- a/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
@@ -11,6 +11,7 @@
 import org.primrosesill.placement.Prompt
 import org.primrosesill.placement.ReportedLoad
 import org.primrosesill.request.HeadMatch
+import org.primrosesill.request.UpstreamResponse
 import kotlin.time.Duration
 
 /**
@@ -88,3 +89,7 @@
     /** Returns the field that announces the [delay] after which a caller may retry. */
     public fun retryAfter(delay: Duration): HeaderField
 }
+
+/** Returns the head of [response] as it is forwarded to the caller. */
+internal fun ForwardingProtocol.callerResponseHead(response: UpstreamResponse): ResponseHead =
+    ResponseHead(response.status, callerResponseHeaders(response.headers), response.reason)
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -1,11 +1,9 @@
 /*
  * Relays the response of an upstream to the caller. A non-streaming response is buffered to its end first, unless it is
- * long, so that a truncated one can still be replaced by another attempt. Of a stream, only complete events are
- * relayed, so that it can be resumed at another upstream.
+ * long, so that a truncated one can still be replaced by another attempt.
  */
 package org.primrosesill.forwarding
 
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.generated.EventType
@@ -14,8 +12,6 @@
 import org.primrosesill.request.UpstreamResponse
 import org.primrosesill.route.RouteKind
 import java.io.ByteArrayOutputStream
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 internal class ResponseRelay(private val dependencies: ForwarderDependencies) {
     private val protocol = dependencies.protocol
@@ -38,7 +34,7 @@
             metadata.contentEncoded -> AttemptOutcome.Unknown("response body has a content encoding")
             !metadata.signed -> AttemptOutcome.Unknown("status ${response.status} without a signature")
             success && context.route.kind == RouteKind.STREAM && isEventStream(response) ->
-                relayStream(context, upstream, response, callerResponse, onPromptPrefilled)
+                StreamRelay(dependencies, context, upstream, response, callerResponse, onPromptPrefilled).relay()
             else -> relayBuffered(context, upstream, response, callerResponse)
         }
     }
@@ -151,108 +147,11 @@
         return AttemptOutcome.Delivered(response.status, ResponseEnd(response.closeDelimited))
     }
 
-    private suspend fun relayStream(
-        context: RequestContext,
-        upstream: KnownUpstream,
-        response: UpstreamResponse,
-        callerResponse: OutboundResponse,
-        onPromptPrefilled: () -> Unit,
-    ): AttemptOutcome {
-        val reader = EventStreamReader(response.body)
-        val resumed = callerResponse.started
-        var eventCount = 0
-        while (true) {
-            when (val part = reader.next(eventTimeout(context, eventCount > 0))) {
-                is StreamPart.Events -> {
-                    dependencies.activity.recordData(upstream.id)
-                    if (eventCount == 0) onPromptPrefilled()
-                    if (!callerResponse.started) {
-                        dependencies.metrics.responseStarted(context.pool, context.request.arrivedAt.elapsedNow())
-                    }
-                    if (!callerResponse.started) callerResponse.start(headOf(response))
-                    eventCount += part.events.size
-                    for (event in part.events) {
-                        val reason = context.orderViolation(event)
-                        if (reason != null) {
-                            dependencies.activity.recordConnectionFailure(upstream.id)
-                            return interruptedOutcome(context, callerResponse, StreamPart.Interrupted(reason))
-                        }
-                        event.id?.let { context.lastEventId = it }
-                        callerResponse.write(event.bytes)
-                    }
-                    // The first event is forwarded at once, because the caller waits for it; later ones may be batched.
-                    response.body.allowBatching()
-                }
-                is StreamPart.Interrupted -> {
-                    dependencies.activity.recordConnectionFailure(upstream.id)
-                    return interruptedOutcome(context, callerResponse, part)
-                }
-                is StreamPart.End -> {
-                    val reason = truncationReason(upstream, response, resumed, eventCount)
-                    if (reason != null) {
-                        dependencies.activity.recordConnectionFailure(upstream.id)
-                        return interruptedOutcome(
-                            context,
-                            callerResponse,
-                            StreamPart.Interrupted(reason, response.closeDelimited),
-                        )
-                    }
-                    if (!callerResponse.started) callerResponse.start(headOf(response))
-                    if (part.comments.isNotEmpty()) callerResponse.write(part.comments)
-                    callerResponse.finish()
-                    dependencies.activity.recordSuccess(upstream.id)
-                    return AttemptOutcome.Delivered(response.status, ResponseEnd(response.closeDelimited, eventCount))
-                }
-            }
-        }
-    }
-
-    /** Returns why a stream whose response has ended without an error is truncated nevertheless, or null if it is whole. */
-    private suspend fun truncationReason(
-        upstream: KnownUpstream,
-        response: UpstreamResponse,
-        resumed: Boolean,
-        eventCount: Int,
-    ): String? {
-        // An upstream that resumes a stream and adds nothing to it may not hold the rest of it.
-        if (eventCount == 0 && (response.closeDelimited || resumed)) return "the response ended before its first event"
-        if (!response.closeDelimited) return null
-        delay(CRASH_EVIDENCE_DELAY)
-        val crashed = dependencies.activity.seemsCrashed(upstream.id)
-        return if (crashed) "the connection was closed together with others to the upstream" else null
-    }
-
-    /**
-     * Limits the wait for an event of a stream that can be resumed, so that it moves to another upstream after a stall.
-     */
-    private fun eventTimeout(context: RequestContext, firstEventReceived: Boolean): Duration {
-        if (!context.route.idempotent) return context.timeLeft()
-        return minOf(
-            context.timeLeft(),
-            if (firstEventReceived) streamIdleTimeout(context.route) else responseTimeout(context.route),
-        )
-    }
-
-    private fun interruptedOutcome(
-        context: RequestContext,
-        callerResponse: OutboundResponse,
-        part: StreamPart.Interrupted,
-    ): AttemptOutcome =
-        if (callerResponse.started && !context.route.resumable) {
-            AttemptOutcome.Cut(part.reason, part.connectionLost)
-        } else {
-            AttemptOutcome.Unknown(part.reason, part.connectionLost)
-        }
-
-    private fun headOf(response: UpstreamResponse) =
-        ResponseHead(response.status, protocol.callerResponseHeaders(response.headers), response.reason)
+    private fun headOf(response: UpstreamResponse) = protocol.callerResponseHead(response)
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
         const val EVENT_STREAM = "text/event-stream"
-
-        /** Longer than the interval of batched reads, after which the end of every other connection has been noticed. */
-        val CRASH_EVIDENCE_DELAY = 80.milliseconds
         val STATUSES_IMPLYING_NOT_RUN = setOf(408, 421, 429, 503)
         val DEADLINE_PASSED = BodyPart.Truncated("the deadline passed")
 
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
@@ -0,0 +1,105 @@
+/*
+ * Relays the response stream of an upstream to the caller. Only complete events are relayed, each of which follows the last
+ * one, so that the stream can be resumed at another upstream.
+ */
+package org.primrosesill.forwarding
+
+import kotlinx.coroutines.delay
+import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.request.UpstreamResponse
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The relay of one response.
+ *
+ * @param callerResponse has been started if the stream is resumed
+ * @param onPromptPrefilled called on the first event
+ */
+internal class StreamRelay(
+    private val dependencies: ForwarderDependencies,
+    private val context: RequestContext,
+    private val upstream: KnownUpstream,
+    private val response: UpstreamResponse,
+    private val callerResponse: OutboundResponse,
+    private val onPromptPrefilled: () -> Unit,
+) {
+    private val reader = EventStreamReader(response.body)
+    private val resumed = callerResponse.started
+    private var eventCount = 0
+
+    suspend fun relay(): AttemptOutcome {
+        while (true) {
+            when (val part = reader.next(eventTimeout())) {
+                is StreamPart.Events -> relayEvents(part)?.let { return interrupted(it) }
+                is StreamPart.Interrupted -> return interrupted(part)
+                is StreamPart.End -> return end(part)
+            }
+        }
+    }
+
+    /** Relays the events of [part] up to the first one that cannot follow the last, which interrupts the stream. */
+    private suspend fun relayEvents(part: StreamPart.Events): StreamPart.Interrupted? {
+        dependencies.activity.recordData(upstream.id)
+        if (eventCount == 0) onPromptPrefilled()
+        if (!callerResponse.started) {
+            dependencies.metrics.responseStarted(context.pool, context.request.arrivedAt.elapsedNow())
+        }
+        startResponse()
+        for (event in part.events) {
+            context.orderViolation(event)?.let { return StreamPart.Interrupted(it) }
+            event.id?.let { context.lastEventId = it }
+            eventCount++
+            callerResponse.write(event.bytes)
+        }
+        // The first event is forwarded at once, because the caller waits for it; later ones may be batched.
+        response.body.allowBatching()
+        return null
+    }
+
+    private suspend fun startResponse() {
+        if (!callerResponse.started) callerResponse.start(dependencies.protocol.callerResponseHead(response))
+    }
+
+    private suspend fun end(part: StreamPart.End): AttemptOutcome {
+        truncationReason()?.let { return interrupted(StreamPart.Interrupted(it, response.closeDelimited)) }
+        startResponse()
+        if (part.comments.isNotEmpty()) callerResponse.write(part.comments)
+        callerResponse.finish()
+        dependencies.activity.recordSuccess(upstream.id)
+        return AttemptOutcome.Delivered(response.status, ResponseEnd(response.closeDelimited, eventCount))
+    }
+
+    /** Returns why a stream whose response has ended without an error is truncated nevertheless, or null if it is whole. */
+    private suspend fun truncationReason(): String? {
+        // An upstream that resumes a stream and adds nothing to it may not hold the rest of it.
+        if (eventCount == 0 && (response.closeDelimited || resumed)) return "the response ended before its first event"
+        if (!response.closeDelimited) return null
+        delay(CRASH_EVIDENCE_DELAY)
+        val crashed = dependencies.activity.seemsCrashed(upstream.id)
+        return if (crashed) "the connection was closed together with others to the upstream" else null
+    }
+
+    private fun interrupted(part: StreamPart.Interrupted): AttemptOutcome {
+        dependencies.activity.recordConnectionFailure(upstream.id)
+        return if (callerResponse.started && !context.route.resumable) {
+            AttemptOutcome.Cut(part.reason, part.connectionLost)
+        } else {
+            AttemptOutcome.Unknown(part.reason, part.connectionLost)
+        }
+    }
+
+    /**
+     * Limits the wait for an event of a stream that can be resumed, so that it moves to another upstream after a stall.
+     */
+    private fun eventTimeout(): Duration {
+        if (!context.route.idempotent) return context.timeLeft()
+        val limit = if (eventCount > 0) streamIdleTimeout(context.route) else responseTimeout(context.route)
+        return minOf(context.timeLeft(), limit)
+    }
+
+    private companion object {
+        /** Longer than the interval of batched reads, after which the end of every other connection has been noticed. */
+        val CRASH_EVIDENCE_DELAY = 80.milliseconds
+    }
+}
