Restore the store from copies in the soak

Each seed has restorations besides its other faults, whose schedule is as before; what the store has lost is written again half a second later. At the end all gateways must have the newest configuration.

--- a/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
@@ -27,6 +27,9 @@
 /** The content of a [StoreStandIn] at one moment, from which it can be restored. */
 class StoreCopy internal constructor(internal val items: Map<String, Any>, internal val revision: Long)
 
+/** The values that a restoration of a [StoreStandIn] from [copy] has lost, by key; null stands for a deletion. */
+class LostWrites internal constructor(internal val values: Map<String, String?>, internal val copy: StoreCopy)
+
 /** An in-memory store. Requests are handled on the traffic thread of [loop]; [write] may be called from any thread. */
 class StoreStandIn(private val loop: TrafficLoop) : RequestHandler {
     private class Item(val value: String?, val revision: Long)
@@ -54,17 +57,29 @@
     @Synchronized
     fun copy(): StoreCopy = StoreCopy(items.toMap(), revision)
 
-    /** Returns to the content and the revision of [copy]: later writes are lost, and their revisions are given out again. */
+    /**
+     * Returns to the content and the revision of [copy]: later writes are lost, and their revisions are given out again.
+     * Returns the lost writes.
+     */
     @Synchronized
-    fun restore(copy: StoreCopy) {
+    fun restore(copy: StoreCopy): LostWrites {
+        val lost = LostWrites(items.filterValues { it.revision > copy.revision }.mapValues { it.value.value }, copy)
         items.clear()
         copy.items.forEach { (key, item) -> items[key] = item as Item }
         revision = copy.revision
         era++
         nextChange.complete(Unit)
         nextChange = CompletableDeferred()
+        return lost
     }
 
+    /** Writes again what was lost and not written since. */
+    @Synchronized
+    fun writeAgain(lost: LostWrites) =
+        lost.values
+            .filterKeys { (items[it]?.revision ?: 0) <= lost.copy.revision }
+            .forEach { (key, value) -> write(key, value) }
+
     @Synchronized
     private fun headOf(status: Int) = ResponseHead(status, headerFieldsOf("Store-Era" to "$era"))
 
--- a/src/test/kotlin/org/primrosesill/soak/GatewaySoakTest.kt
+++ b/src/test/kotlin/org/primrosesill/soak/GatewaySoakTest.kt
@@ -46,7 +46,8 @@
 
 class GatewaySoakTest {
     // Guards against requests that are executed twice, requests that are rejected as not executed although they were,
-    // corrupted streams, and requests that are lost in a graceful stop, under overlapping faults.
+    // corrupted streams, requests that are lost in a graceful stop, and configurations that a gateway does not have after the
+    // store was restored from a copy, under overlapping faults.
     @TestFactory
     fun `invariants hold under injected faults`(): List<DynamicTest> {
         val seconds = System.getProperty("soak.seconds")?.toInt() ?: 15
@@ -65,7 +66,7 @@
             val start = TimeSource.Monotonic.markNow()
             val nowMillis = { start.elapsedNow().inWholeMilliseconds }
             val faults =
-                planFaults(seed, seconds, GATEWAYS, site.upstreams.size, site.proxyCount).map { scheduled ->
+                plan(seed, seconds, site).map { scheduled ->
                     launch {
                         delay(scheduled.startMillis - nowMillis())
                         site.inject(scheduled)
@@ -82,12 +83,16 @@
             callers.forEach { it.join() }
             val ready = site.gateways.count { site.isReady(it) }
             expectThat(ready).describedAs("ready gateways at the end").isEqualTo(GATEWAYS)
+            site.awaitConfiguration()
         }
         val violations = violations(site, calls.toList())
         expectThat(violations).describedAs("seed $seed, logs in ${site.directory}").isEmpty()
         expectThat(calls.count { it.response.status == 200 }).isGreaterThan(seconds * MINIMUM_SERVED_PER_SECOND)
     }
 
+    private fun plan(seed: Long, seconds: Int, site: SoakSite) =
+        planFaults(seed, seconds, GATEWAYS, site.upstreams.size, site.proxyCount) + planRestorations(seed, seconds)
+
     private suspend fun callRepeatedly(
         site: SoakSite,
         random: Random,
--- a/src/test/kotlin/org/primrosesill/soak/SoakPlan.kt
+++ b/src/test/kotlin/org/primrosesill/soak/SoakPlan.kt
@@ -25,6 +25,12 @@
 
     data class Store(val mode: StoreMode) : Fault
 
+    /**
+     * The store comes back at the end of the fault from a copy made at its start. What it has lost is written again a moment
+     * later.
+     */
+    data object Restoration : Fault
+
     data class Upstream(val upstream: Int, val mode: UpstreamMode) : Fault
 
     /** Fault [mode] of the connections through the proxy with index [proxy], to the store or to an upstream. */
@@ -47,6 +53,16 @@
         .toList()
 }
 
+/** Returns the restorations of the store in a soak test of [seconds], which leave the other faults of a seed as they are. */
+internal fun planRestorations(seed: Long, seconds: Int): List<ScheduledFault> {
+    val random = Random(seed xor RESTORATION_SEED)
+    val endMillis = seconds * 1_000L - RECOVERY_MILLIS - MAXIMUM_RESTORATION_MILLIS
+    return List(seconds / SECONDS_PER_RESTORATION) {
+        val duration = random.nextLong(300, MAXIMUM_RESTORATION_MILLIS)
+        ScheduledFault(random.nextLong(FIRST_FAULT_MILLIS, endMillis), duration, Fault.Restoration)
+    }
+}
+
 private fun randomFault(random: Random, gateways: Int, upstreams: Int, proxies: Int): Fault {
     val gateway = random.nextInt(gateways)
     val upstream = random.nextInt(upstreams)
@@ -66,6 +82,9 @@
 private val proxyFaults = ProxyMode.entries - ProxyMode.NORMAL
 private val upstreamFaults = UpstreamMode.entries - UpstreamMode.NORMAL
 private const val FIRST_FAULT_MILLIS = 500L
+private const val RESTORATION_SEED = 0x5deece66dL
+private const val SECONDS_PER_RESTORATION = 7
+private const val MAXIMUM_RESTORATION_MILLIS = 3_000L
 private const val MINIMUM_GAP_MILLIS = 200L
 private const val MAXIMUM_GAP_MILLIS = 1_200L
 
--- a/src/test/kotlin/org/primrosesill/soak/SoakSite.kt
+++ b/src/test/kotlin/org/primrosesill/soak/SoakSite.kt
@@ -5,6 +5,8 @@
 
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withContext
 import org.primrosesill.concurrent.throwingReporter
 import org.primrosesill.platform.SiteStandIn
@@ -18,11 +20,13 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.writeText
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 internal class SoakGateway(
     val callerAddress: String,
     val readinessAddress: String,
+    val metricsAddress: String,
     val settingsFile: Path,
     val process: SiteProcess,
 ) {
@@ -46,6 +50,7 @@
     val caller = TestCaller(loop)
     val gateways = mutableListOf<SoakGateway>()
     private var configurationVersion = 1
+    private val restoration = Mutex()
 
     val upstreams get() = site.upstreams
 
@@ -62,11 +67,12 @@
     private fun launchGateway(number: Int, peers: MutableList<String>): SoakGateway {
         val callerAddress = freeAddress()
         val readinessAddress = freeAddress()
+        val metricsAddress = freeAddress()
         val file = directory.resolve("gateway-$number.json")
         peers += "127.0.0.${number + 2}:${freeAddress().substringAfter(':')}"
         file.writeText(
             """{"name":"gateway-$number","availabilityZone":"${"ab"[number % 2]}","callerAddress":"$callerAddress",
-            "readinessAddress":"$readinessAddress","peerAddress":"${peers.last()}","metricsAddress":"${freeAddress()}",
+            "readinessAddress":"$readinessAddress","peerAddress":"${peers.last()}","metricsAddress":"$metricsAddress",
             "gossipPort":$gossipPort,"platformAddress":"${site.storeAddress}","retryFixed":50,
             "peers":[${peers.joinToString(",") { "\"$it\"" }}],"stopGraceMillis":8000}""",
         )
@@ -74,6 +80,7 @@
         return SoakGateway(
             callerAddress,
             readinessAddress,
+            metricsAddress,
             file,
             SiteProcess(listOf("gateway", "--settings=$file"), log),
         )
@@ -101,6 +108,7 @@
                 delay(scheduled.durationMillis)
                 site.store.mode = StoreMode.NORMAL
             }
+            Fault.Restoration -> restoreStore(scheduled.durationMillis)
             is Fault.Upstream -> {
                 upstreams[fault.upstream].mode = fault.mode
                 delay(scheduled.durationMillis)
@@ -120,6 +128,26 @@
         }
     }
 
+    /** One restoration at a time: what one has lost is written again before the next copy is made. */
+    private suspend fun restoreStore(durationMillis: Long) =
+        restoration.withLock {
+            val copy = site.store.copy()
+            delay(durationMillis)
+            val lost = site.store.restore(copy)
+            delay(REWRITE_DELAY)
+            site.store.writeAgain(lost)
+        }
+
+    /** Waits until all gateways have the newest version of the configuration. */
+    suspend fun awaitConfiguration() =
+        gateways.forEach { gateway ->
+            awaitCondition("version $configurationVersion at the gateway at ${gateway.callerAddress}") {
+                val metrics = caller.get(gateway.metricsAddress, "/metrics").body.lines()
+                val version = metrics.firstOrNull { it.startsWith(VERSION_METRIC) }?.substringAfter(' ')
+                version?.toDouble()?.toInt() == configurationVersion
+            }
+        }
+
     private suspend fun stopGracefully(gateway: SoakGateway) {
         if (!gateway.inRotation) return
         gateway.inRotation = false
@@ -171,6 +199,10 @@
     }
 
     private companion object {
+        const val VERSION_METRIC = "primrosesill_configuration_version "
+
+        /** Time in which the operator and the upstreams notice that the store has lost what they wrote. */
+        val REWRITE_DELAY = 500.milliseconds
         val START_TIMEOUT = 30.seconds
         const val STOP_TIMEOUT_SECONDS = 10L
         const val RELOAD_PAUSE_MILLIS = 200L
