--- a/src/main/kotlin/org/primrosesill/discovery/RestoredItems.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/RestoredItems.kt
@@ -15,27 +15,28 @@
  */
 internal class ItemReplacement(val applied: List<PlatformItem>, val held: List<PlatformItem>)
 
-/** Owned by the control thread. Times are milliseconds of a monotonic clock. */
-internal class RestoredItems(private val decoder: PlatformItemDecoder, private val holdMillis: Long) {
+/**
+ * Owned by the control thread. Times are milliseconds of a monotonic clock.
+ *
+ * @param registrationOf returns the entry of an upstream that is in use, or null
+ */
+internal class RestoredItems(
+    private val decoder: PlatformItemDecoder,
+    private val holdMillis: Long,
+    private val registrationOf: (UpstreamId) -> UpstreamRegistration?,
+) {
     private val heldByKey = HashMap<String, HeldItem>()
 
     /**
      * Returns how the items of [listing], the first one of an era, replace [previous], the items of the era before with their
      * deletions. Items that were held before are held on if the new era has them too.
-     *
-     * @param registrationOf returns the entry of an upstream that is in use, or null
      */
-    fun replace(
-        previous: List<PlatformItem>,
-        listing: PlatformListing,
-        registrationOf: (UpstreamId) -> UpstreamRegistration?,
-        nowMillis: Long,
-    ): ItemReplacement {
+    fun replace(previous: List<PlatformItem>, listing: PlatformListing, nowMillis: Long): ItemReplacement {
         val previousByKey = previous.associateBy { it.key }
         val listed = listing.items.mapTo(HashSet()) { it.key }
         val missing = previous.filter { it.key !in listed }
         val items = listing.items + missing.map { PlatformItem(it.key, listing.revision.number, null) }
-        val (held, applied) = items.partition { holds(it, previousByKey[it.key], registrationOf, nowMillis) }
+        val (held, applied) = items.partition { holds(it, previousByKey[it.key], nowMillis) }
         return ItemReplacement(applied, held)
     }
 
@@ -51,16 +52,11 @@
         return due.map { it.item }
     }
 
-    private fun holds(
-        item: PlatformItem,
-        previous: PlatformItem?,
-        registrationOf: (UpstreamId) -> UpstreamRegistration?,
-        nowMillis: Long,
-    ): Boolean {
+    private fun holds(item: PlatformItem, previous: PlatformItem?, nowMillis: Long): Boolean {
         val heldBefore = heldByKey[item.key]
         val dueAt =
             when {
-                previous == null || !contradicts(item, previous, registrationOf, heldBefore) -> return false
+                previous == null || !contradicts(item, previous, heldBefore) -> return false
                 // An upstream that drains exits; until then, only a later entry of its own can revoke that.
                 item.value != null && decoder.upstreamOf(item.key)?.let(registrationOf) != null -> NEVER
                 else -> nowMillis + holdMillis
@@ -69,12 +65,7 @@
         return true
     }
 
-    private fun contradicts(
-        item: PlatformItem,
-        previous: PlatformItem,
-        registrationOf: (UpstreamId) -> UpstreamRegistration?,
-        heldBefore: HeldItem?,
-    ): Boolean {
+    private fun contradicts(item: PlatformItem, previous: PlatformItem, heldBefore: HeldItem?): Boolean {
         val upstream = decoder.upstreamOf(item.key)
         return when {
             // The upstreams of an entry that is missing have a grace time of their own.
@@ -85,7 +76,7 @@
         }
     }
 
-    /** Returns whether [previous] had no effect: it was deleted, or a copy has restored it only in the era before. */
+    /** Returns whether [previous] was not in effect: it was deleted, or an item that is still held would end its deletion. */
     private fun isDeleted(previous: PlatformItem, heldBefore: HeldItem?): Boolean =
         if (heldBefore == null) previous.value == null else heldBefore.item.value != null
 
--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -65,7 +65,7 @@
     private val itemsByKey = HashMap<String, PlatformItem>()
     private val upstreams = HashMap<UpstreamId, Entry>()
     private val evacuatedZones = HashSet<AvailabilityZoneId>()
-    private val restoredItems = RestoredItems(decoder, settings.restorationHoldMillis)
+    private val restoredItems = RestoredItems(decoder, settings.restorationHoldMillis, ::registrationOf)
     private val pendingChanges = ArrayList<DirectoryChange>()
     private var configuration: ServingConfiguration? = null
     private var configurationText: String? = null
@@ -103,7 +103,7 @@
         itemsByKey.clear()
         revision = listing.revision
         if (previousItems.isNotEmpty()) reachability.recordRestoration(nowMillis)
-        val replacement = restoredItems.replace(previousItems, listing, ::registrationOf, nowMillis)
+        val replacement = restoredItems.replace(previousItems, listing, nowMillis)
         replacement.held.forEach { itemsByKey[it.key] = it }
         replacement.applied.forEach { apply(it, nowMillis) }
         if (previousItems.isNotEmpty()) {
