--- a/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
@@ -248,6 +248,7 @@
             ResumeCase("an empty body with a length", Script(withLength(""))),
             ResumeCase("an empty body by its connection", Script(head())),
             ResumeCase("text", Script(withLength("failed\n\n"))),
+            ResumeCase("text before the rest", Script(withLength("failed\n\n" + event(3)))),
             ResumeCase("JSON", Script(withLength("{\"error\":1}\n\n", fields = "Content-Type: application/json\r\n"))),
             ResumeCase("an HTTP head as the body", Script(head() + "HTTP/1.1 500 S\r\nX: y\r\n\r\n")),
             ResumeCase("the stream from its start", Script(withLength(event(1) + event(2) + event(3)))),
