Add a failing test for engines that join a large pool and get no requests

A quarter of the pool is added warm and empty while the other engines have cached all parts; requests come in groups and responses vary in length.

--- a/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.discovery.DirectoryView
@@ -14,9 +15,11 @@
 import org.primrosesill.forwarding.testUpstream
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.RouterId
+import org.primrosesill.model.UpstreamId
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
@@ -41,6 +44,19 @@
 /** All subjects are equally popular, or a tenth of them get nearly half of the requests. */
 private val popularitiesAndSeeds = listOf(1.0, 3.0).flatMap { popularity -> (1L..4L).map { popularity to it } }
 private const val COLD_MILLIS = 3_000L
+
+/** Engines are added one after the other; the first requests to them are counted once all have been added. */
+private const val JOINED_ENGINES = LARGEST_FLEET_ENGINES / 4
+private const val SCALE_OUT_START_MILLIS = 10_000L
+private const val SCALE_OUT_INTERVAL_MILLIS = 200L
+private const val FIRST_REQUESTS_MILLIS = 5_000L
+
+/** Callers of the users' deployments send requests in groups, and few subjects are much more popular than others. */
+private const val GROUP_SIZE = 3
+private const val DAY_POPULARITY = 1.4
+
+private val scaleOutCases =
+    listOf(DAY_POPULARITY, 3.0).flatMap { popularity -> (1L..4L).map { ScaleOutCase(popularity, it) } }
 private const val LOAD_BOUND_WINDOW_MILLIS = 5_000L
 
 /** The load of the larger of the users' deployments. */
@@ -51,6 +67,14 @@
         ReplayKind("chat", 143.0, 694, 103, 500, 110, 1_400),
     )
 
+/** The same load with responses so long that each engine has three requests in flight on average. */
+private val scaleOutKinds =
+    listOf(
+        ReplayKind("draft", 127.0, 275, 2_520, 6_100, 580, 500),
+        ReplayKind("question", 174.0, 564, 341, 1_700, 360, 300),
+        ReplayKind("chat", 143.0, 694, 103, 500, 110, 1_500),
+    )
+
 private val evacuationKinds =
     listOf(
         ReplayKind("draft", 9.7, 24, 2_520, 6_100, 580, 300),
@@ -58,6 +82,8 @@
         ReplayKind("chat", 14.7, 81, 100, 500, 110, 1_600),
     )
 
+private class ScaleOutCase(val popularity: Double, val seed: Long)
+
 class FleetPlacementTest {
     private fun replay(
         policy: Policy,
@@ -173,6 +199,56 @@
         }
     }
 
+    /** Plays a load while a quarter of the pool is added, warm and empty; other engines have cached all parts. */
+    private fun playScaleOut(case: ScaleOutCase): ReplayResult {
+        val load =
+            replayLoad(
+                scaleOutKinds,
+                25_000,
+                LARGEST_FLEET_ROUTERS,
+                case.seed,
+                popularity = case.popularity,
+                groupSize = GROUP_SIZE,
+                variableResponses = true,
+            )
+        val engines = PlacementReplay.engines(LARGEST_FLEET_ENGINES)
+        val replay = PlacementReplay(Policy.PRODUCT, LARGEST_FLEET_ROUTERS, engines, case.seed, EXCHANGE_MILLIS)
+        repeat(JOINED_ENGINES) { number ->
+            replay.at(SCALE_OUT_START_MILLIS + number * SCALE_OUT_INTERVAL_MILLIS) {
+                replay.startEngine(LARGEST_FLEET_ENGINES + number, coldMillis = 0)
+            }
+        }
+        return replay.play(load)
+    }
+
+    // Guards against engines that join a large pool and get no requests, because other engines have cached all parts, and
+    // against engines with over twice the mean load of all engines at the same time: a bound on late reports alone sends the
+    // requests of all routers to the engines whose last report is low.
+    @Tag("known-red")
+    @TestFactory
+    fun `engines that join a large pool take their share of its load within seconds`(): List<DynamicTest> =
+        scaleOutCases.map { case ->
+            dynamicTest("popularity ${case.popularity}, seed ${case.seed}") {
+                val result = playScaleOut(case)
+                val start = SCALE_OUT_START_MILLIS + JOINED_ENGINES * SCALE_OUT_INTERVAL_MILLIS
+                val window = start until start + FIRST_REQUESTS_MILLIS
+                val counts = result.arrivals.mapValues { (_, instants) -> instants.count { it in window } }
+                val joined =
+                    List(JOINED_ENGINES) { counts[UpstreamId("engine-${LARGEST_FLEET_ENGINES + it}")] ?: 0 }
+                val mean = counts.values.sum().toDouble() / (LARGEST_FLEET_ENGINES + JOINED_ENGINES)
+                val worst = result.worstOverLoadBound(LOAD_BOUND_WINDOW_MILLIS, fromMillis = SCALE_OUT_START_MILLIS)
+                println(
+                    "popularity ${case.popularity}, seed ${case.seed}: joined engines ${joined.sorted()}, " +
+                        "mean of all $mean; over the load bound ${result.overLoadBound} of ${result.requests}, " +
+                        "worst window $worst, late ${result.late}, " +
+                        "prefilled again ${result.tokensPrefilledAgain}, fetched ${result.tokensFetched}",
+                )
+                expectThat(worst).describedAs("over the load bound").isLessThanOrEqualTo(0.03)
+                expectThat(joined.count { it == 0 }).describedAs("engines without a request").isEqualTo(0)
+                expectThat(joined.average()).isGreaterThanOrEqualTo(mean / 2)
+            }
+        }
+
     // Guards against engines that accept requests and never respond. Occurred with 9 of 98 engines behind 69 routers: the
     // loads of these engines dropped to nothing, and each router had to detect the silence by itself.
     @Test
@@ -309,7 +385,7 @@
         ).map { case ->
             dynamicTest(case.name) {
                 val activity = UpstreamActivity { 0 }
-                case.suspect.forEach { activity.recordConnectionFailure(org.primrosesill.model.UpstreamId(it)) }
+                case.suspect.forEach { activity.recordConnectionFailure(UpstreamId(it)) }
                 val (placement, view) = placementOf(case.upstreams, FleetReachability(), activity, case.settled)
                 val chosen = placement.choose(request, view) as? PlacementResult.Chosen
                 expectThat(chosen?.upstream?.id?.value).isEqualTo(case.expected)
--- a/src/test/kotlin/org/primrosesill/placement/ReplayLoad.kt
+++ b/src/test/kotlin/org/primrosesill/placement/ReplayLoad.kt
@@ -45,9 +45,10 @@
     )
 
 /**
- * Returns a load of [kinds] with exponentially distributed intervals. From [hotFromMillis] on, a fraction [hotShare] of the
- * first kind has the same subject. All subjects are equally popular if [popularity] is 1, and the first ones get more requests
- * the larger it is.
+ * Returns a load of [kinds] with exponentially distributed intervals between groups of [groupSize] requests that arrive at
+ * once. From [hotFromMillis] on, a fraction [hotShare] of the first kind has the same subject. All subjects are equally popular
+ * if [popularity] is 1, and the first ones get more requests the larger it is. With [variableResponses] the durations of the
+ * responses are exponentially distributed.
  */
 fun replayLoad(
     kinds: List<ReplayKind>,
@@ -57,13 +58,17 @@
     hotShare: Double = 0.0,
     hotFromMillis: Long = 0,
     popularity: Double = 1.0,
+    groupSize: Int = 1,
+    variableResponses: Boolean = false,
 ): List<ReplayRequest> {
     val random = Random(seed)
     return kinds.flatMap { kind ->
         val requests = mutableListOf<ReplayRequest>()
         var atMillis = 0.0
         while (true) {
-            atMillis += -Math.log(1 - random.nextDouble()) * 1_000 / kind.perSecond
+            if (requests.size % groupSize == 0) {
+                atMillis += exponential(random) * 1_000 * groupSize / kind.perSecond
+            }
             if (atMillis >= millis) break
             val hot = kind === kinds.first() && atMillis >= hotFromMillis && random.nextDouble() < hotShare
             val subject = if (hot) 0 else subjectOf(kind, popularity, random)
@@ -74,12 +79,18 @@
                     PromptPart(PromptPartId("${kind.name}-own-${requests.size}"), kind.ownTokens),
                 )
             val prompt = Prompt(parts, parts.sumOf { it.tokens }, 100)
-            requests += ReplayRequest(atMillis.toLong(), random.nextInt(routers), prompt, kind.responseMillis)
+            val router = random.nextInt(routers)
+            val responseMillis =
+                if (variableResponses) (kind.responseMillis * exponential(random)).toLong() else kind.responseMillis
+            requests += ReplayRequest(atMillis.toLong(), router, prompt, responseMillis)
         }
         requests
     }
 }
 
+/** Returns an exponentially distributed number with a mean of 1. */
+private fun exponential(random: Random): Double = -Math.log(1 - random.nextDouble())
+
 private fun subjectOf(kind: ReplayKind, popularity: Double, random: Random): Int =
     if (popularity == 1.0) {
         random.nextInt(kind.subjects)
