Select engines of a large pool by hashing order and load shares

Cause: the cost of a prompt let it go only to engines that had cached its parts, until the bound excluded them. Engines that joined got nothing, so that the others carried their share; and the bound, on reports half a second to a second old, made all routers leave out and choose the same engines. Engines without reports were left out of the mean, which was believed too high.

Change: in a fleet that has reports only, a prompt goes to the first engine of its rendezvous order that accepts it. An engine above the mean accepts a fraction of the prompts. A low or missing report attracts nothing, and an engine without a recent report is idle. Fleets that exchange counts select as before.

UpstreamLoadsTest asserted that an engine without a report has the mean load of the others; that belief is the fault in a large fleet.

--- a/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
@@ -17,16 +17,32 @@
  * An engine that may serve one given prompt.
  *
  * @property load requests in flight from all routers
+ * @property averageLoad recent average of [load]
+ * @property rank rendezvous hash for the shared parts of the prompt; the same on all routers
  * @property cachedTokens tokens at the beginning of the prompt that the engine has prefilled before
  * @property pendingPrefillTokens prompt tokens of other requests that the engine has yet to prefill
  */
 internal class EngineCandidate(
     val upstream: KnownUpstream,
     val load: LoadEstimate,
+    val averageLoad: Double,
+    val rank: Long,
     val cachedTokens: Int,
     val pendingPrefillTokens: Int,
     val failureRate: Double,
-)
+) {
+    /** Returns this engine as it will be once it has fetched all shared parts that any engine has cached. */
+    fun withAllCached(prompt: PromptCostInputs) =
+        EngineCandidate(
+            upstream,
+            load,
+            averageLoad,
+            rank,
+            maxOf(cachedTokens, prompt.bestCachedTokens),
+            pendingPrefillTokens,
+            failureRate,
+        )
+}
 
 /**
  * The inputs of the cost estimate that are the same for all engines.
--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/placement/EngineSelection.kt
@@ -0,0 +1,85 @@
+/*
+ * Selects the engine for a prompt among the engines that may get it.
+ */
+package org.primrosesill.placement
+
+/**
+ * The engines among which one is selected, and what the selection depends on.
+ *
+ * @property engines engines below the load bound; not empty
+ * @property meanLoad mean of the average loads of all engines that may get the request, those over the bound included
+ * @property isUncached whether the prompt has shared parts and no engine has cached all of them
+ */
+internal class EngineChoice(
+    val prompt: Prompt,
+    val costInputs: PromptCostInputs,
+    val engines: List<EngineCandidate>,
+    val meanLoad: Double,
+    val isUncached: Boolean,
+)
+
+internal fun interface EngineSelection {
+    fun select(choice: EngineChoice): EngineCandidate
+}
+
+/** Failure rate above which an engine is not the first choice of its rendezvous hashing order. */
+private const val FAILURE_RATE_THRESHOLD = 0.1
+
+/**
+ * Selects the engine with the lowest serving cost. A prompt whose shared parts no engine has cached in full goes to the first
+ * engine of its rendezvous hashing order, so that the next request with these parts is placed where they are cached.
+ *
+ * Load pattern: a small fleet, whose routers know all requests in flight.
+ */
+internal val cheapestEngineSelection =
+    EngineSelection { choice ->
+        if (choice.isUncached) {
+            choice.engines.minWith(rendezvousOrder)
+        } else {
+            choice.engines.minWith(compareBy({ engineCost(choice.costInputs, it) }, { -it.rank }))
+        }
+    }
+
+/**
+ * Selects the first engine of the rendezvous hashing order that accepts the prompt. An engine with an average load above the
+ * mean accepts a fraction of the prompts that come to it, and the others go on along the order. Loads are known late, and all
+ * routers know the same: so a low load attracts nothing, and a high one moves as many prompts away as its excess requires. An
+ * engine that joins is at once the first choice for its share of the prompts, although others have cached their parts.
+ *
+ * The first engine in the zone of this router is preferred if fetching the parts that it lacks costs less than the traffic to
+ * another zone.
+ *
+ * Load pattern: hundreds of routers place a thousand requests a second on a pool that grows or shrinks within seconds.
+ */
+internal val loadShareSelection =
+    EngineSelection { choice ->
+        val order = choice.engines.sortedWith(rendezvousOrder)
+        val first = order.firstOrNull { it.accepts(choice) } ?: order.first()
+        if (choice.isUncached) first else nearestOf(choice, first, order)
+    }
+
+private val rendezvousOrder: Comparator<EngineCandidate> =
+    compareBy({ it.failureRate > FAILURE_RATE_THRESHOLD }, { -it.rank })
+
+private fun nearestOf(choice: EngineChoice, first: EngineCandidate, order: List<EngineCandidate>): EngineCandidate {
+    val inputs = choice.costInputs
+    val near = order.firstOrNull { it.upstream.registration.availabilityZone == inputs.zone }
+    if (near == null || !near.accepts(choice)) return first
+    return if (engineCost(inputs, near) < engineCost(inputs, first.withAllCached(inputs))) near else first
+}
+
+/** Returns whether this engine accepts the prompt. The own part decides, so that the requests of a session stay together. */
+private fun EngineCandidate.accepts(choice: EngineChoice): Boolean =
+    rendezvousFraction(choice.prompt.parts, upstream.id) < acceptedFraction(averageLoad, choice.meanLoad)
+
+/** Returns the fraction of the prompts that an engine accepts: 1 up to about the mean load, and 0 at twice as much. */
+internal fun acceptedFraction(averageLoad: Double, meanLoad: Double): Double {
+    val full = meanLoad * FULL_SHARE_MULTIPLE + FULL_SHARE_SLACK
+    val none = meanLoad * NO_SHARE_MULTIPLE + NO_SHARE_SLACK
+    return ((none - averageLoad) / (none - full)).coerceIn(0.0, 1.0)
+}
+
+private const val FULL_SHARE_MULTIPLE = 1.0
+private const val FULL_SHARE_SLACK = 1.0
+private const val NO_SHARE_MULTIPLE = 2.0
+private const val NO_SHARE_SLACK = 2.0
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -25,7 +25,7 @@
     /** The last report of the upstream, plus the requests that this router has sent since. */
     REPORT("reported"),
 
-    /** The mean of the pool or, if larger, the requests of this router, as there is no recent report. */
+    /** The requests of this router, as there is no recent report. */
     NO_REPORT("no recent report"),
 }
 
@@ -44,24 +44,41 @@
         }
 }
 
+/** What the estimates of a pool are based on. */
+public enum class LoadBasis {
+    /** The current counts of all routers of a small fleet. */
+    EXCHANGED_COUNTS,
+
+    /** Reports, since the counts of some routers of a small fleet are missing. */
+    MISSING_COUNTS,
+
+    /** Reports, since the fleet is too large to exchange counts. */
+    REPORTS,
+}
+
 /**
  * The estimated loads of all upstreams of a pool.
  *
- * @property areExact whether the estimates are the counts of all routers
+ * @param averages the recent average load of each upstream; equal to its estimate where counts are exchanged
  */
-public class PoolLoads(private val estimates: Map<UpstreamId, LoadEstimate>, public val areExact: Boolean) {
-    /** Mean number of requests in flight, or 0 for an empty pool. */
-    public val mean: Double =
-        if (estimates.isEmpty()) {
-            0.0
-        } else {
-            estimates.values.sumOf { it.inFlight }.toDouble() /
-                estimates.size
-        }
+public class PoolLoads(
+    private val estimates: Map<UpstreamId, LoadEstimate>,
+    private val averages: Map<UpstreamId, Double>,
+    public val basis: LoadBasis,
+) {
+    /** Mean of the average loads of all upstreams, or 0 for an empty pool. */
+    public val mean: Double = if (averages.isEmpty()) 0.0 else averages.values.average()
 
     public operator fun get(upstream: UpstreamId): LoadEstimate = estimates.getValue(upstream)
+
+    /** Returns the recent average load of [upstream]. */
+    public fun averageOf(upstream: UpstreamId): Double = averages.getValue(upstream)
 }
 
+/** Returns the loads of a pool for which no averages are known apart from [estimates]. */
+private fun poolLoads(estimates: Map<UpstreamId, LoadEstimate>, basis: LoadBasis) =
+    PoolLoads(estimates, estimates.mapValues { it.value.inFlight.toDouble() }, basis)
+
 /** Thread-safe. Times are milliseconds of a monotonic clock. */
 public class UpstreamLoads(private val activity: UpstreamActivity, private val nowMillis: () -> Long) {
     private val reportedLoads = HashMap<UpstreamId, TimedLoad>()
@@ -71,8 +88,9 @@
     /** Returns the estimated loads of [pool]. */
     @Synchronized
     public fun estimates(pool: Collection<UpstreamId>): PoolLoads {
-        val counts = freshCounts()
-        return if (counts == null) estimatesFromReports(pool) else exchangedCounts(pool, counts)
+        if (expectedRouters == null) return estimatesFromReports(pool)
+        val counts = freshCounts() ?: return estimatesWithoutCounts(pool)
+        return exchangedCounts(pool, counts)
     }
 
     private fun exchangedCounts(pool: Collection<UpstreamId>, counts: List<RouterCounts>): PoolLoads {
@@ -81,24 +99,47 @@
                 val inFlight = activity.inFlight(upstream) + counts.sumOf { it.requests[upstream] ?: 0 }
                 LoadEstimate(inFlight, LoadSource.EXCHANGED_COUNTS, 0)
             }
-        return PoolLoads(estimates, areExact = true)
+        return poolLoads(estimates, LoadBasis.EXCHANGED_COUNTS)
     }
 
     /**
-     * The older a report, the closer the load is expected to be to the average of its upstream. All routers have the same
-     * reports, and if an old one counted as exact, or an upstream without one as idle, all would send to the same upstream.
+     * An upstream without a recent report counts as idle: an upstream that has requests of any router responds, and its reports
+     * reach all routers.
      */
     private fun estimatesFromReports(pool: Collection<UpstreamId>): PoolLoads {
+        val reports = freshLoads(pool)
+        val estimates = pool.associateWith { estimate(it, reports[it], loadWithoutReport = 0) }
+        val averages =
+            pool.associateWith {
+                maxOf(
+                    activity.inFlight(it).toDouble(),
+                    reports[it]?.averageOfOthers ?: 0.0,
+                )
+            }
+        return PoolLoads(estimates, averages, LoadBasis.REPORTS)
+    }
+
+    /**
+     * Estimates until the missing counts arrive. An upstream without a recent report counts as average, so that the routers do
+     * not all send to it at once.
+     */
+    private fun estimatesWithoutCounts(pool: Collection<UpstreamId>): PoolLoads {
+        val reports = freshLoads(pool)
+        val mean = if (reports.isEmpty()) 0.0 else reports.values.sumOf { it.average } / reports.size
+        val estimates = pool.associateWith { estimate(it, reports[it], mean.roundToInt()) }
+        return poolLoads(estimates, LoadBasis.MISSING_COUNTS)
+    }
+
+    private fun freshLoads(pool: Collection<UpstreamId>): Map<UpstreamId, TimedLoad> {
         val reports = HashMap<UpstreamId, TimedLoad>()
         pool.forEach { upstream -> freshLoad(upstream)?.let { reports[upstream] = it } }
-        val mean = if (reports.isEmpty()) 0.0 else reports.values.sumOf { it.average } / reports.size
-        val estimates = pool.associateWith { upstream -> estimate(upstream, reports[upstream], mean) }
-        return PoolLoads(estimates, areExact = false)
+        return reports
     }
 
-    private fun estimate(upstream: UpstreamId, report: TimedLoad?, mean: Double): LoadEstimate {
+    /** The older a report, the closer the load is expected to be to the average of its upstream. */
+    private fun estimate(upstream: UpstreamId, report: TimedLoad?, loadWithoutReport: Int): LoadEstimate {
         val own = activity.inFlight(upstream)
-        if (report == null) return LoadEstimate(maxOf(own, mean.roundToInt()), LoadSource.NO_REPORT, 0)
+        if (report == null) return LoadEstimate(maxOf(own, loadWithoutReport), LoadSource.NO_REPORT, 0)
         val ageMillis = nowMillis() - report.atMillis
         val difference = currentLoad(upstream, report) - report.average
         val expected = report.average + difference * exp(-ageMillis / LOAD_TIME_CONSTANT_MILLIS)
@@ -184,7 +225,10 @@
      * @property ownInFlight requests of this router in flight when it received the report
      * @property average the average of the reports up to this one
      */
-    private class TimedLoad(val load: Int, val atMillis: Long, val ownInFlight: Int, val average: Double)
+    private class TimedLoad(val load: Int, val atMillis: Long, val ownInFlight: Int, val average: Double) {
+        /** The average without the request in whose response each load was reported, which is part of that load. */
+        val averageOfOthers get() = (average - 1).coerceAtLeast(0.0)
+    }
 
     private class RouterCounts(val requests: Map<UpstreamId, Int>, val atMillis: Long)
 
