Let a low or missing report attract only some requests to a plain service

The lower of two random upstreams is taken instead. Services that report no loads, and small fleets, are placed as before. Without the change the first two cases of the new test get all requests; they get a third now.

--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -107,7 +107,7 @@
 
     private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream {
         val loads = dependencies.loads.estimates(candidates.map { it.id })
-        return candidates.shuffled(dependencies.random).minBy { upstream ->
+        return compared(candidates, loads).minBy { upstream ->
             val zonePenalty =
                 if (upstream.registration.availabilityZone == dependencies.zone) 0.0 else REMOTE_ZONE_PENALTY
             loads[upstream.id].inFlight.toDouble() / upstream.registration.slots + zonePenalty +
@@ -115,7 +115,19 @@
         }
     }
 
+    /**
+     * Returns the upstreams of which the least loaded one is chosen, in random order: all [candidates], or two of them if their
+     * loads come from reports. All routers have the same reports, and would all choose the upstream whose report is the lowest.
+     */
+    private fun compared(candidates: List<KnownUpstream>, loads: PoolLoads): List<KnownUpstream> {
+        val shuffled = candidates.shuffled(dependencies.random)
+        if (!loads.areReported) return shuffled
+        val withFreeSlots = shuffled.filter { loads[it.id].inFlight < it.registration.slots }
+        return withFreeSlots.ifEmpty { shuffled }.take(COMPARED_UPSTREAMS)
+    }
+
     private companion object {
+        const val COMPARED_UPSTREAMS = 2
         val RETRY_AFTER = 300.milliseconds
 
         /** Network partitions of a zone rarely last less than this. */
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -69,6 +69,10 @@
     /** Mean of the average loads of all upstreams, or 0 for an empty pool. */
     public val mean: Double = if (averages.isEmpty()) 0.0 else averages.values.average()
 
+    /** Whether the fleet is too large to exchange counts and at least one upstream reports its load. */
+    public val areReported: Boolean =
+        basis == LoadBasis.REPORTS && estimates.values.any { it.source == LoadSource.REPORT }
+
     public operator fun get(upstream: UpstreamId): LoadEstimate = estimates.getValue(upstream)
 
     /** Returns the recent average load of [upstream]. */
--- a/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
@@ -19,6 +19,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
@@ -38,6 +39,7 @@
 private const val LARGEST_FLEET_ROUTERS = 69
 private const val LARGEST_FLEET_ENGINES = 98
 
+private const val PLAIN_REQUESTS = 600
 private const val REPLACEMENT_START_MILLIS = 10_000L
 
 /** All subjects are equally popular, or a tenth of them get nearly half of the requests. */
@@ -296,11 +298,12 @@
         fleet: FleetReachability,
         activity: UpstreamActivity,
         settled: Boolean = true,
+        loads: UpstreamLoads = UpstreamLoads(activity) { 0 },
     ) = fleetPlacement(
         PlacementDependencies(
             AvailabilityZoneId("a"),
             activity,
-            UpstreamLoads(activity) { 0 },
+            loads,
             PromptCacheIndex { 0 },
             ColdStartBudget({ ColdStartBound(1.5, 5) }, { FleetMembers(RouterId("self"), emptySet(), settled) }, { 0 }),
             SilentUpstreams("self", activity) { 0 },
@@ -312,6 +315,25 @@
         ),
     ) to DirectoryView(PlatformRevision(1), PlacementReplay.engineConfiguration(), mapOf(enginePool to upstreams))
 
+    // Guards against a plain service of a large fleet whose routers all send to the upstream with the lowest last report, or to the
+    // one without a report.
+    @TestFactory
+    fun `a low or missing report attracts only some of the requests to a plain service`(): List<DynamicTest> =
+        listOf("no report" to null, "a low report" to 0, "full slots" to 1_000).map { (name, load) ->
+            dynamicTest(name) {
+                val upstreams = List(6) { testUpstream("upstream-$it", enginePool, "a") }
+                val activity = UpstreamActivity { 0 }
+                val loads = UpstreamLoads(activity) { 0 }
+                upstreams.drop(1).forEach { loads.recordReported(it.id, 3) }
+                load?.let { loads.recordReported(upstreams.first().id, it) }
+                val (placement, view) = placementOf(upstreams, FleetReachability(), activity, loads = loads)
+                val chosen = List(PLAIN_REQUESTS) { placement.choose(request, view) as PlacementResult.Chosen }
+                val toFirst = chosen.count { it.upstream.id == upstreams.first().id }
+                val expected = if (load == 1_000) 0..0 else PLAIN_REQUESTS / 4..PLAIN_REQUESTS / 2
+                expectThat(toFirst).isIn(expected)
+            }
+        }
+
     private val request =
         PlacementRequest(enginePool, prompt = null, 100.milliseconds, bodyBytes = 0, excluded = emptySet())
 
