--- a/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/SimulatedFleet.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.testTimeSource
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.encodeToString
 import org.primrosesill.discovery.FeedError
 import org.primrosesill.discovery.PlatformChanges
 import org.primrosesill.discovery.PlatformFeed
@@ -30,6 +31,7 @@
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.http.messageJson
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.RouterId
@@ -161,6 +163,14 @@
 
         /** Whether the calls of this gateway to peers fail. */
         var callsFail = false
+
+        /** Bytes of the datagrams and of the bodies of responses from peers that this gateway has received. */
+        var receivedBytes = 0L
+            private set
+
+        /** Number of calls of this gateway to peers. */
+        var peerCalls = 0
+            private set
         private val uplink = SimulatedLink(settings.linkBytesPerMilli)
         private val downlink = SimulatedLink(settings.linkBytesPerMilli)
         private val activity = UpstreamActivity { scope.currentTime }
@@ -196,7 +206,10 @@
                 PeerClient(this),
                 events,
                 { scope.currentTime },
-            ) { addresses, message -> addresses.forEach { deliver(it, message) } }
+            ) { addresses, message ->
+                val size = messageJson.encodeToString(message).length
+                addresses.forEach { deliver(it, message, size) }
+            }
         private val handler = PeerHandler(loop, trafficGossip, StandardTestDispatcher(scope.testScheduler))
         private val feed = Feed(this)
 
@@ -217,6 +230,7 @@
         /** Calls a peer over the links of both gateways. */
         override suspend fun <T> exchange(call: UpstreamCall, use: suspend (UpstreamResponse) -> T): ExchangeResult<T> {
             val peer = byAddress.getValue(call.address)
+            peerCalls++
             delay(LATENCY_MILLIS)
             if (callsFail) return ExchangeResult.NotSent("no route to ${call.address}")
             val captured = CapturedResponse()
@@ -237,15 +251,17 @@
                 val part = bytes.copyOfRange(sent, minOf(sent + CHUNK_BYTES, bytes.size))
                 sent += part.size
                 delay(transfer(from, this, part.size))
+                receivedBytes += part.size
                 BodyPart.Bytes(part)
             }
         }
 
-        private fun deliver(address: String, message: ExchangeMessage) {
+        private fun deliver(address: String, message: ExchangeMessage, size: Int) {
             datagrams++
             val peer = byAddress[address] ?: return
             scope.backgroundScope.launch {
                 delay(LATENCY_MILLIS)
+                peer.receivedBytes += size
                 peer.loop.receive(message)
             }
         }
