Send and decode only what changed of a configuration

Callers saw requests late by a third of a second, and LIMIT broken, while configurations followed each other with 2,000 routes in force. Cause: each change cost each gateway the whole configuration: up to 64,325 bytes compressed (435,000 characters), encoded and compressed anew for each of its callers, and 2,024 decoded routes and accounts (ConfigurationChangeCostTest, six of six cases failed on the code before).

A large value is divided into the elements of its arrays. Gateways announce and fetch a delta to a value that the receiver has, with digests of both; the value itself is the fallback. The decoder shares the entries that two configurations have in common. A response with items is encoded and compressed once for all callers of a second. Gateways of earlier releases get whole values: deltas are in a field that they ignore, or sent only on request.

--- /dev/null
+++ b/src/main/kotlin/org/primrosesill/discovery/ItemHistory.kt
@@ -0,0 +1,57 @@
+/*
+ * The last values of large items, so that a change of such an item can be sent, received and stored as a delta to one of
+ * them.
+ */
+package org.primrosesill.discovery
+
+/** An item that was changed; [delta] leads to its value from one that the receiver has, if it is known to have one. */
+public class ItemChange(public val item: PlatformItem, public val delta: TextDelta?)
+
+/** Owned by the control thread. */
+internal class ItemHistory {
+    private val valuesByKey = HashMap<String, ArrayDeque<PastValue>>()
+
+    /** Digests of the values that this gateway can apply a delta to, the newest one of each item. */
+    val digests: List<TextDigest> get() = valuesByKey.values.map { it.last().value.digest }
+
+    /** Records the value of [item] if it is large, and returns the item. It shares the segments of the value before. */
+    fun record(item: PlatformItem): PlatformItem {
+        if (!item.isLarge) return item
+        val values = valuesByKey.getOrPut(item.key) { ArrayDeque() }
+        val shared = values.lastOrNull()?.let { sharing(item, it.value) } ?: item
+        values += PastValue(item.revision, checkNotNull(shared.segments))
+        if (values.size > VALUES_PER_ITEM) values.removeFirst()
+        return shared
+    }
+
+    /** Returns the item that follows from [delta] to a recorded value under [key], or null if there is no such value. */
+    fun itemAfter(key: String, revision: Long, delta: TextDelta): PlatformItem? =
+        valuesByKey[key]
+            ?.firstOrNull { it.value.digest == delta.base }
+            ?.let { delta.applyTo(it.value) }
+            ?.let { PlatformItem(key, revision, it) }
+
+    /** Returns the change to [item] for a gateway that has values with the digests [known]. */
+    fun changeFor(item: PlatformItem, known: Set<TextDigest>): ItemChange =
+        changeFrom(item) { value -> value.value.digest in known }
+
+    /** Returns the change to [item] for a gateway that has the items up to revision [since]. */
+    fun changeSince(item: PlatformItem, since: Long): ItemChange = changeFrom(item) { value -> value.revision <= since }
+
+    private fun changeFrom(item: PlatformItem, isBase: (PastValue) -> Boolean): ItemChange {
+        val base = valuesByKey[item.key]?.lastOrNull(isBase) ?: return ItemChange(item, null)
+        return ItemChange(item, item.segments?.let { deltaBetween(base.value, it) })
+    }
+
+    private fun sharing(item: PlatformItem, previous: SegmentedText): PlatformItem? {
+        val segments = item.segments ?: return null
+        return deltaBetween(previous, segments).applyTo(previous)?.let { PlatformItem(item.key, item.revision, it) }
+    }
+
+    private class PastValue(val revision: Long, val value: SegmentedText)
+
+    private companion object {
+        /** Enough for a gateway that misses some changes in a row; the values share their segments. */
+        const val VALUES_PER_ITEM = 8
+    }
+}
--- a/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
@@ -10,8 +10,40 @@
 import org.primrosesill.route.ServingConfiguration
 import kotlin.time.Duration
 
-/** One item as stored by the platform. A null [value] means that the item was deleted at [revision]. */
-public class PlatformItem(public val key: String, public val revision: Long, public val value: String?)
+/** One item as stored by the platform, or its deletion at [revision]. */
+public class PlatformItem private constructor(
+    public val key: String,
+    public val revision: Long,
+    private val text: Lazy<String>?,
+    private val segmentedText: Lazy<SegmentedText>?,
+    internal val isLarge: Boolean,
+) {
+    /** An item with the given [value], or its deletion if [value] is null. */
+    public constructor(key: String, revision: Long, value: String?) :
+        this(
+            key,
+            revision,
+            value?.let(::lazyOf),
+            value?.let { lazy(LazyThreadSafetyMode.PUBLICATION) { segmentedText(it) } },
+            isLarge = value != null && value.length >= LARGE_VALUE_CHARACTERS,
+        )
+
+    public constructor(key: String, revision: Long, value: SegmentedText) :
+        this(key, revision, lazy(LazyThreadSafetyMode.PUBLICATION) { value.text }, lazyOf(value), isLarge = true)
+
+    public val isDeleted: Boolean get() = text == null
+
+    /** The value, or null if the item was deleted. */
+    public val value: String? get() = text?.value
+
+    /** The value in segments, or null if the item was deleted. */
+    public val segments: SegmentedText? get() = segmentedText?.value
+
+    private companion object {
+        /** A shorter value is hardly longer than a delta to it. */
+        const val LARGE_VALUE_CHARACTERS = 1_000
+    }
+}
 
 /** All items, as of [revision] or later. */
 public class PlatformListing(public val revision: PlatformRevision, public val items: List<PlatformItem>)
@@ -47,8 +79,17 @@
 
 /** A decoded item. */
 public sealed interface DecodedItem {
-    /** The complete configuration. */
-    public class Configuration(public val configuration: ServingConfiguration) : DecodedItem
+    /**
+     * The complete configuration.
+     *
+     * @property entries the decoded elements of the arrays in its value
+     * @property newEntryCount number of elements that were decoded, and not shared with an earlier configuration
+     */
+    public class Configuration(
+        public val configuration: ServingConfiguration,
+        public val entries: Map<TextSegment, Any> = emptyMap(),
+        public val newEntryCount: Int = entries.size,
+    ) : DecodedItem
 
     /** The upstreams of a zone receive no new requests while the item exists. */
     public class ZoneEvacuated(public val zone: AvailabilityZoneId) : DecodedItem
@@ -68,6 +109,12 @@
     /** Returns the decoded [item], which must have a value: deletions are not decoded. */
     public fun decode(item: PlatformItem): DecodedItem
 
+    /**
+     * Returns the decoded [item]. If it is a configuration, the elements that it has in common with [previous] are those of
+     * [previous] and are not decoded again.
+     */
+    public fun decode(item: PlatformItem, previous: DecodedItem.Configuration?): DecodedItem = decode(item)
+
     /** Returns the upstream whose entry is stored under [key], or null when [key] is not that of an entry. */
     public fun upstreamOf(key: String): UpstreamId?
 
--- a/src/main/kotlin/org/primrosesill/discovery/RestoredItems.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/RestoredItems.kt
@@ -58,7 +58,7 @@
             when {
                 previous == null || !contradicts(item, previous, heldBefore) -> return false
                 // An upstream that drains exits; until then, only a later entry of its own can revoke that.
-                item.value != null && decoder.upstreamOf(item.key)?.let(registrationOf) != null -> NEVER
+                !item.isDeleted && decoder.upstreamOf(item.key)?.let(registrationOf) != null -> NEVER
                 else -> nowMillis + holdMillis
             }
         heldByKey[item.key] = HeldItem(item, dueAt)
@@ -69,16 +69,16 @@
         val upstream = decoder.upstreamOf(item.key)
         return when {
             // The upstreams of an entry that is missing have a grace time of their own.
-            upstream != null && item.value == null -> false
+            upstream != null && item.isDeleted -> false
             upstream != null -> !isDrainingEntry(item) && registrationOf(upstream)?.draining ?: true
             decoder.evacuatedZoneOf(item.key) == null -> false
-            else -> (item.value == null) != isDeleted(previous, heldBefore)
+            else -> item.isDeleted != isDeleted(previous, heldBefore)
         }
     }
 
     /** Returns whether [previous] was not in effect: it was deleted, or an item that is still held would end its deletion. */
     private fun isDeleted(previous: PlatformItem, heldBefore: HeldItem?): Boolean =
-        if (heldBefore == null) previous.value == null else heldBefore.item.value != null
+        if (heldBefore == null) previous.isDeleted else !heldBefore.item.isDeleted
 
     private fun isDrainingEntry(item: PlatformItem): Boolean =
         (decoder.decode(item) as? DecodedItem.Upstream)?.registration?.draining ?: true
--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -13,35 +13,6 @@
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.route.ServingConfiguration
 
-/** A change of an [UpstreamDirectory], for the event log. */
-public sealed interface DirectoryChange {
-    public class ConfigurationAccepted(public val version: Long) : DirectoryChange
-
-    public class StaleConfigurationRejected(public val version: Long, public val activeVersion: Long) : DirectoryChange
-
-    public class ZoneEvacuated(public val zone: AvailabilityZoneId) : DirectoryChange
-
-    public class ZoneRestored(public val zone: AvailabilityZoneId) : DirectoryChange
-
-    public class UpstreamListed(public val upstream: UpstreamId, public val state: String) : DirectoryChange
-
-    /**
-     * An entry was removed that may have expired during an outage of the platform. Its upstream is kept for the grace
-     * time.
-     */
-    public class UpstreamExpired(public val upstream: UpstreamId, public val reason: String) : DirectoryChange
-
-    public class UpstreamRemoved(public val upstream: UpstreamId, public val reason: String) : DirectoryChange
-
-    public class ItemRejected(public val key: String, public val reason: String) : DirectoryChange
-
-    /** The platform was restored from a copy. [held] items contradict later changes and are not applied yet. */
-    public class PlatformRestored(public val before: PlatformRevision, public val held: Int) : DirectoryChange
-
-    /** An update of an older era was received. */
-    public class OlderEraRejected(public val revision: PlatformRevision) : DirectoryChange
-}
-
 /**
  * Durations in milliseconds.
  *
@@ -67,8 +38,10 @@
     private val evacuatedZones = HashSet<AvailabilityZoneId>()
     private val restoredItems = RestoredItems(decoder, settings.restorationHoldMillis, ::registrationOf)
     private val pendingChanges = ArrayList<DirectoryChange>()
-    private var configuration: ServingConfiguration? = null
-    private var configurationText: String? = null
+    private val history = ItemHistory()
+    private var decodedConfiguration: DecodedItem.Configuration? = null
+    private var configurationValue: SegmentedText? = null
+    private val configuration: ServingConfiguration? get() = decodedConfiguration?.configuration
 
     /** Responses of the platform to this gateway and to others. */
     public val reachability: PlatformReachability = PlatformReachability()
@@ -84,7 +57,7 @@
         listing.items.forEach { apply(it, nowMillis) }
         val listed = listing.items.mapTo(HashSet()) { it.key }
         val missing =
-            itemsByKey.values.filter { it.value != null && it.key !in listed && it.revision <= listing.revision.number }
+            itemsByKey.values.filter { !it.isDeleted && it.key !in listed && it.revision <= listing.revision.number }
         missing.forEach { apply(PlatformItem(it.key, listing.revision.number, null), nowMillis) }
         revision = maxOf(revision, listing.revision)
         return drainChanges()
@@ -123,7 +96,7 @@
         if (page.revision.era > revision.era) {
             // Without the complete content, this gateway could not tell which of its items the new era lacks.
             if (since.era == page.revision.era) return drainChanges()
-            return startEra(PlatformListing(page.revision, page.items.filter { it.value != null }), nowMillis)
+            return startEra(PlatformListing(page.revision, page.items.filterNot { it.isDeleted }), nowMillis)
         }
         page.items.forEach { apply(it, nowMillis) }
         removeExpired(nowMillis)
@@ -155,6 +128,23 @@
     public fun itemsAfter(since: PlatformRevision): List<PlatformItem> =
         itemsByKey.values.filter { PlatformRevision(it.revision, revision.era) > since }
 
+    /** Digests of the large values to which this gateway can apply a delta. */
+    public val valueDigests: List<TextDigest> get() = history.digests
+
+    /** Returns the changes after [since] for a peer that has the values with the digests [known]. */
+    public fun changesAfter(since: PlatformRevision, known: Set<TextDigest>): List<ItemChange> =
+        itemsAfter(since).map { history.changeFor(it, known) }
+
+    /** Returns the changes after [since] for peers that have all items up to it. */
+    public fun changesSince(since: PlatformRevision): List<ItemChange> {
+        val isSameEra = since.era == revision.era
+        return itemsAfter(since).map { if (isSameEra) history.changeSince(it, since.number) else ItemChange(it, null) }
+    }
+
+    /** Returns the item that follows from [delta] to a value that this gateway has, or null if it has no such value. */
+    public fun itemAfter(key: String, revision: Long, delta: TextDelta): PlatformItem? =
+        history.itemAfter(key, revision, delta)
+
     /** Returns an immutable snapshot for the request path. */
     public fun view(): DirectoryView =
         DirectoryView(
@@ -169,15 +159,16 @@
     private fun apply(item: PlatformItem, nowMillis: Long) {
         val current = itemsByKey[item.key]
         if (current != null && item.revision <= current.revision) return
-        itemsByKey[item.key] = item
+        val recorded = history.record(item)
+        itemsByKey[item.key] = recorded
         restoredItems.remove(item.key)
-        applyEffect(item, nowMillis)
+        applyEffect(recorded, nowMillis)
     }
 
     private fun applyEffect(item: PlatformItem, nowMillis: Long) {
-        if (item.value == null) return applyDeletion(item, nowMillis)
-        when (val decoded = decoder.decode(item)) {
-            is DecodedItem.Configuration -> acceptConfiguration(decoded.configuration, item)
+        if (item.isDeleted) return applyDeletion(item, nowMillis)
+        when (val decoded = decoder.decode(item, decodedConfiguration)) {
+            is DecodedItem.Configuration -> acceptConfiguration(decoded, item)
             is DecodedItem.ZoneEvacuated -> evacuateZone(decoded.zone)
             is DecodedItem.Upstream -> register(decoded.registration, nowMillis)
             is DecodedItem.Invalid -> rejectItem(item, decoded.reason, nowMillis)
@@ -185,19 +176,21 @@
         }
     }
 
-    private fun acceptConfiguration(received: ServingConfiguration, item: PlatformItem) {
+    private fun acceptConfiguration(decoded: DecodedItem.Configuration, item: PlatformItem) {
+        val received = decoded.configuration
         val active = configuration
         if (active != null && received.version <= active.version) {
             if (received.version < active.version) {
                 pendingChanges += DirectoryChange.StaleConfigurationRejected(received.version, active.version)
                 // Peers receive the active configuration, also one that starts after the platform has lost it.
-                itemsByKey[item.key] = PlatformItem(item.key, item.revision, configurationText)
+                configurationValue?.let { itemsByKey[item.key] = PlatformItem(item.key, item.revision, it) }
             }
             return
         }
-        configuration = received
-        configurationText = item.value
-        pendingChanges += DirectoryChange.ConfigurationAccepted(received.version)
+        decodedConfiguration = decoded
+        configurationValue = item.segments
+        pendingChanges +=
+            DirectoryChange.ConfigurationAccepted(received.version, decoded.newEntryCount, decoded.entries.size)
     }
 
     private fun evacuateZone(zone: AvailabilityZoneId) {
--- a/src/main/kotlin/org/primrosesill/gateway/CatchUp.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/CatchUp.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.discovery.PlatformRevision
+import org.primrosesill.discovery.TextDigest
 import org.primrosesill.event.EventLog
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.Member
@@ -20,7 +21,8 @@
  * Runs on the control thread.
  *
  * @param readsPlatform returns whether this gateway reads the platform itself
- * @param applyItems applies the items after revision `since` that a peer returned
+ * @param applyItems applies the items after revision `since` that a peer returned, and returns whether that was possible: a
+ *     delta needs the value from which it leads on
  */
 internal class CatchUp(
     private val scope: CoroutineScope,
@@ -29,7 +31,7 @@
     private val events: EventLog,
     private val nowMillis: () -> Long,
     private val readsPlatform: () -> Boolean,
-    private val applyItems: (peer: Member, since: PlatformRevision, items: RelayedItems) -> Unit,
+    private val applyItems: (peer: Member, since: PlatformRevision, items: RelayedItems) -> Boolean,
 ) {
     private val lag = ViewLag()
 
@@ -84,20 +86,35 @@
         val started = nowMillis()
         delay(fetchDelay())
         awaitListing()
+        if (sender.platformRevision <= directory.revision) return
+        // Fetches from the sender, so that the calls of the fleet do not all go to the same gateway.
+        val items = fetchApplied(sender.member) ?: return
+        if (ageMillis >= 0) directory.recordPeerAge(items.platformRevision, ageMillis + nowMillis() - started)
+    }
+
+    /**
+     * Fetches and applies the items that this gateway lacks, and returns them, or null if a call failed. Whole values are
+     * fetched if those that this gateway has do not lead to the peer's.
+     */
+    private suspend fun fetchApplied(peer: Member): RelayedItems? {
         val since = directory.revision
-        if (sender.platformRevision > since) {
-            // Fetches from the sender, so that the calls of the fleet do not all go to the same gateway.
-            val peer = sender.member
-            val calledAt = nowMillis()
-            client.fetchItems(peer.address, since).fold(
-                { recordFailure(since, it, nowMillis() - calledAt) },
-                {
-                    recordFetch(peer, since, it, nowMillis() - calledAt)
-                    applyItems(peer, since, it)
-                    if (ageMillis >= 0) directory.recordPeerAge(it.platformRevision, ageMillis + nowMillis() - started)
-                },
-            )
-        }
+        val changes = fetch(peer, since, directory.valueDigests) ?: return null
+        if (applyItems(peer, since, changes)) return changes
+        events.record(
+            EventType.PEER_FAILED,
+            "a delta from ${peer.address} does not lead to its value; fetching the value",
+        )
+        val items = fetch(peer, since, known = emptyList()) ?: return null
+        return items.takeIf { applyItems(peer, since, it) }
+    }
+
+    private suspend fun fetch(peer: Member, since: PlatformRevision, known: List<TextDigest>): RelayedItems? {
+        val calledAt = nowMillis()
+        return client
+            .fetchItems(peer.address, since, known)
+            .onLeft { recordFailure(since, it, nowMillis() - calledAt) }
+            .onRight { recordFetch(peer, since, it, nowMillis() - calledAt) }
+            .getOrNull()
     }
 
     private fun recordFailure(since: PlatformRevision, failure: PeerFailure, durationMillis: Long) =
@@ -107,11 +124,10 @@
         )
 
     private fun recordFetch(peer: Member, since: PlatformRevision, fetched: RelayedItems, durationMillis: Long) {
-        val size = fetched.items.sumOf { it.key.length + (it.value?.length ?: 0) }
         events.record(
             EventType.ITEMS_FETCHED,
-            "${fetched.items.size} items after revision $since up to ${fetched.revision}, $size characters " +
-                "from ${peer.address} in $durationMillis ms, behind for $behindMillis ms",
+            "${fetched.items.size} items after revision $since up to ${fetched.revision}, " +
+                "${fetched.characters} characters from ${peer.address} in $durationMillis ms, behind for $behindMillis ms",
         )
     }
 
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryManager.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryManager.kt
@@ -9,10 +9,13 @@
 import org.primrosesill.discovery.DirectoryChange
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.discovery.FeedError
+import org.primrosesill.discovery.ItemChange
 import org.primrosesill.discovery.PlatformChanges
 import org.primrosesill.discovery.PlatformItem
 import org.primrosesill.discovery.PlatformListing
 import org.primrosesill.discovery.PlatformRevision
+import org.primrosesill.discovery.TextDelta
+import org.primrosesill.discovery.TextDigest
 import org.primrosesill.discovery.UpstreamDirectory
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
@@ -61,7 +64,19 @@
     /** Time since the platform last responded to any gateway, or null if none has been recorded. */
     val platformResponseAgeMillis: Long? get() = directory.reachability.lastResponseAgeMillis(nowMillis())
 
-    fun itemsAfter(revision: PlatformRevision): List<PlatformItem> = directory.itemsAfter(revision)
+    /** Digests of the large values to which this gateway can apply a delta. */
+    val valueDigests: List<TextDigest> get() = directory.valueDigests
+
+    /** Returns the changes after [since] for a peer that has the values with the digests [known]. */
+    fun changesAfter(since: PlatformRevision, known: Set<TextDigest>): List<ItemChange> =
+        directory.changesAfter(since, known)
+
+    /** Returns the changes after [since] for peers that have all items up to it. */
+    fun changesSince(since: PlatformRevision): List<ItemChange> = directory.changesSince(since)
+
+    /** Returns the item that follows from [delta] to a value that this gateway has, or null if it has no such value. */
+    fun itemAfter(key: String, revision: Long, delta: TextDelta): PlatformItem? =
+        directory.itemAfter(key, revision, delta)
 
     /** Applies a complete listing from the platform. */
     fun applyListing(listing: PlatformListing, source: String) =
@@ -127,7 +142,7 @@
             is DirectoryChange.ConfigurationAccepted ->
                 recordEvent(
                     EventType.CONFIGURATION_ACCEPTED,
-                    "version ${change.version} from $source",
+                    "version ${change.version} from $source, ${change.newEntryCount} of ${change.entryCount} entries new",
                     "${change.version}",
                 )
             is DirectoryChange.StaleConfigurationRejected ->
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -8,15 +8,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.primrosesill.discovery.PlatformChanges
-import org.primrosesill.discovery.PlatformItem
 import org.primrosesill.discovery.PlatformRevision
+import org.primrosesill.discovery.TextDigest
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.EventSubject
 import org.primrosesill.exchange.UpdateSource
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
-import org.primrosesill.generated.RelayedItem
 import org.primrosesill.generated.RelayedItems
 import org.primrosesill.model.UpstreamId
 import kotlin.time.Duration.Companion.milliseconds
@@ -36,6 +35,8 @@
     private var announcedRevision = PlatformRevision.NONE
     private var requestCountsScheduled = false
     private var crashEvidenceScheduled = false
+    private val relay = ItemRelay(directory)
+    private val pages = ItemPages(relay, directory::revision, nowMillis)
     private val catchUp =
         CatchUp(
             scope,
@@ -80,20 +81,17 @@
             delay(BATCHING_DELAY)
             val since = announcedRevision
             announcedRevision = directory.revision
-            val changes = changesToSend(since)
+            val changes = relay.announcedChanges(since)
             val announcement = fleet.announcement(directory, pendingSource ?: source, carriesChanges = changes != null)
             pendingSource = null
-            val message =
-                announcement.message.copy(changes = changes, changesSince = since.number, changesSinceEra = since.era)
-            send(announcement.addresses, message)
+            send(announcement.addresses, announcement.message.withChanges(changes, since))
         }
     }
 
-    /** Returns the changes after [since], so that no receiver has to fetch them, or null if they exceed a datagram. */
-    private fun changesToSend(since: PlatformRevision): RelayedItems? {
-        val changes = itemsAfter(since)
-        val size = changes.items.sumOf { it.key.length + (it.value?.length ?: 0) }
-        return changes.takeIf { size <= MAXIMUM_CHANGES_CHARACTERS }
+    private fun ExchangeMessage.withChanges(changes: RelayedItems?, since: PlatformRevision): ExchangeMessage {
+        val message = copy(changesSince = since.number, changesSinceEra = since.era)
+        val hasDeltas = changes != null && changes.hasDeltas
+        return if (hasDeltas) message.copy(deltaChanges = changes) else message.copy(changes = changes)
     }
 
     /** Records upstreams that have become silent, and broadcasts at once those that this gateway detected itself. */
@@ -154,46 +152,37 @@
     }
 
     /**
-     * Returns the platform's items that changed after revision [since] of [era], for a peer. A peer of a version that knows no
-     * eras sends none; its revision counts as one of the current era.
+     * Returns the platform's items that changed after revision [since] of [era], for a peer that has the large values with the
+     * digests [known]. A peer of a version that knows no eras sends none; its revision counts as one of the current era.
      */
-    fun itemsAfter(since: Long, era: Long?): RelayedItems =
-        itemsAfter(PlatformRevision(since, era ?: directory.revision.era))
-
-    /** Returns the platform's items that changed after [revision]. */
-    private fun itemsAfter(revision: PlatformRevision): RelayedItems =
-        RelayedItems(
-            revision = directory.revision.number,
-            era = directory.revision.era,
-            items = directory.itemsAfter(revision).map { RelayedItem(it.key, it.revision, it.value) },
-            reachableMillis = directory.platformReachableMillis ?: -1,
-            answeredAgoMillis = directory.platformResponseAgeMillis ?: -1,
-        )
+    fun itemsAfter(since: Long, era: Long?, known: Set<TextDigest>): ItemPage =
+        pages.page(PlatformRevision(since, era ?: directory.revision.era), known)
+
+    /** Returns the time since [page] was encoded. */
+    fun ageMillisOf(page: ItemPage): Long = nowMillis() - page.encodedAtMillis
 
     /** Applies the changes in [message] if no revision is missing between them and this gateway's own. */
     private fun applyChanges(sender: Member, message: ExchangeMessage) {
-        val changes = message.changes ?: return
+        val changes = message.changes ?: message.deltaChanges ?: return
         val since = PlatformRevision(message.changesSince, message.changesSinceEra)
         if (since <= directory.revision) applyItems(sender, since, changes)
     }
 
-    private fun applyItems(peer: Member, since: PlatformRevision, relayed: RelayedItems) {
+    private fun applyItems(peer: Member, since: PlatformRevision, relayed: RelayedItems): Boolean {
         val before = directory.revision
-        val items = relayed.items.map { PlatformItem(it.key, it.revision, it.value) }
+        val items = relay.itemsOf(relayed) ?: return false
         // A peer whose calls the platform rejects may report no response; the platform may be reachable all the same.
         if (relayed.reachableMillis >= 0 && relayed.answeredAgoMillis >= 0) {
             directory.recordPeerReachability(relayed.reachableMillis, relayed.answeredAgoMillis)
         }
         directory.applyPeerChanges(since, PlatformChanges(relayed.platformRevision, items), "gateway ${peer.address}")
         if (directory.revision > before) announce(fleet.sourceOf(peer))
+        return true
     }
 
     private companion object {
         val ROUND_INTERVAL = 400.milliseconds
 
-        /** Maximum size of the changes in an announcement: the characters of all keys and values. */
-        const val MAXIMUM_CHANGES_CHARACTERS = 4_000
-
         /** Changes and requests often arrive in bursts, which a single message then covers. */
         val BATCHING_DELAY = 20.milliseconds
     }
--- a/src/main/kotlin/org/primrosesill/platform/StoreConfiguration.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreConfiguration.kt
@@ -4,6 +4,9 @@
 package org.primrosesill.platform
 
 import arrow.core.Either
+import org.primrosesill.discovery.DecodedItem
+import org.primrosesill.discovery.SegmentedText
+import org.primrosesill.discovery.TextSegment
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.PoolId
 import org.primrosesill.route.CallerLimits
@@ -26,17 +29,59 @@
         "stream" to RouteKind.STREAM,
     )
 
-internal fun readConfiguration(value: String): Either<WireError, ServingConfiguration> =
-    readWireObject(value, "configuration") { wire ->
-        ServingConfiguration(
-            version = wire.integer("version"),
-            routes = RouteTable(wire.objects("routes").map(::readRoute)),
-            pools = wire.objects("services").map(::readPool).associateBy { it.id },
-            limits = readLimits(wire.requiredObject("limits")),
-            accounts = wire.optionalObjects("tenants")?.map(::readAccount),
-        )
+/**
+ * Reads the configuration in [value]. Routes, services and client accounts that it has in common with [previous] are those
+ * of [previous].
+ */
+internal fun readConfiguration(
+    value: SegmentedText,
+    previous: DecodedItem.Configuration?,
+): Either<WireError, DecodedItem.Configuration> =
+    readWireObject(value.frame, CONFIGURATION_NAME) { wire ->
+        val entries = ConfigurationEntries(wire, value, previous?.entries.orEmpty())
+        val routes = entries.read("routes", wire.objects("routes"), ::readRoute)
+        val pools = entries.read("services", wire.objects("services"), ::readPool)
+        val accounts = wire.optionalObjects("tenants")?.let { entries.read("tenants", it, ::readAccount) }
+        val configuration =
+            ServingConfiguration(
+                version = wire.integer("version"),
+                routes = RouteTable(routes),
+                pools = pools.associateBy { it.id },
+                limits = readLimits(wire.requiredObject("limits")),
+                accounts = accounts,
+            )
+        DecodedItem.Configuration(configuration, entries.decoded, entries.newCount)
+    }
+
+/** Reads the elements of the arrays in [value], as far as [known] lacks them. */
+private class ConfigurationEntries(
+    private val wire: WireObject,
+    private val value: SegmentedText,
+    private val known: Map<TextSegment, Any>,
+) {
+    val decoded = HashMap<TextSegment, Any>(known.size * 2)
+    var newCount = 0
+        private set
+
+    /** Returns the elements of the array [name]: those in the frame of the value, and those that are segments. */
+    inline fun <reified T : Any> read(name: String, inFrame: List<WireObject>, read: (WireObject) -> T): List<T> {
+        val elements = inFrame.map(read)
+        newCount += elements.size
+        return elements +
+            value.elementsOf(name).mapIndexed { index, segment ->
+                val entry = known[segment] as? T ?: read(parse(segment, "$CONFIGURATION_NAME.$name[$index]"))
+                entry.also { decoded[segment] = it }
+            }
     }
 
+    private fun parse(segment: TextSegment, path: String): WireObject {
+        newCount++
+        return wire.parse(segment.element, path)
+    }
+}
+
+private const val CONFIGURATION_NAME = "configuration"
+
 private fun readRoute(wire: WireObject): Route {
     val kind = wire.string("type")
     return Route(
--- a/src/main/kotlin/org/primrosesill/platform/StoreItems.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreItems.kt
@@ -22,13 +22,15 @@
 public fun storeItemDecoder(): PlatformItemDecoder = StoreItemDecoder
 
 private object StoreItemDecoder : PlatformItemDecoder {
-    override fun decode(item: PlatformItem): DecodedItem {
-        val value = checkNotNull(item.value) { "a deleted item cannot be decoded" }
+    override fun decode(item: PlatformItem): DecodedItem = decode(item, previous = null)
+
+    override fun decode(item: PlatformItem, previous: DecodedItem.Configuration?): DecodedItem {
+        require(!item.isDeleted) { "a deleted item cannot be decoded" }
         return when {
             item.key == CONFIGURATION_KEY ->
-                readConfiguration(value).fold({ invalid(it) }, { DecodedItem.Configuration(it) })
+                readConfiguration(checkNotNull(item.segments), previous).fold({ invalid(it) }, { it })
             item.key.startsWith(SERVER_PREFIX) ->
-                readRegistration(item.key, value).fold({ invalid(it) }, { DecodedItem.Upstream(it) })
+                readRegistration(item.key, checkNotNull(item.value)).fold({ invalid(it) }, { DecodedItem.Upstream(it) })
             else -> evacuatedZoneOf(item.key)?.let { DecodedItem.ZoneEvacuated(it) } ?: DecodedItem.Unrelated
         }
     }
--- a/src/main/kotlin/org/primrosesill/platform/WireJson.kt
+++ b/src/main/kotlin/org/primrosesill/platform/WireJson.kt
@@ -8,6 +8,7 @@
 import arrow.core.left
 import arrow.core.raise.Raise
 import arrow.core.raise.either
+import arrow.core.right
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
@@ -97,6 +98,10 @@
             rows?.filterNotNull()?.takeIf { it.size == rows.size }
         } ?: missingField(name, "an array of arrays")
 
+    /** Parses [text], the JSON object at [path] of the message, which is not part of this object. */
+    fun parse(text: String, path: String): WireObject =
+        parseObject(text, path).fold({ raise.raise(it) }, { WireObject(raise, it, path) })
+
     /** Aborts the decoding with an error for the field [name]. */
     fun fail(name: String, found: Any, expected: String): Nothing =
         raise.raise(WireError("$path.$name", found.toString(), expected))
@@ -140,7 +145,10 @@
 }
 
 /** Parses [text] as a JSON object, called [name] in errors, and returns the result of [decode]. */
-internal fun <T> readWireObject(text: String, name: String, decode: (WireObject) -> T): Either<WireError, T> {
+internal fun <T> readWireObject(text: String, name: String, decode: (WireObject) -> T): Either<WireError, T> =
+    either { decode(WireObject(this, parseObject(text, name).bind(), name)) }
+
+private fun parseObject(text: String, name: String): Either<WireError, JsonObject> {
     if (nestingDepth(text) > MAXIMUM_NESTING_DEPTH) {
         return WireError(name, "deeply nested JSON", "at most $MAXIMUM_NESTING_DEPTH levels").left()
     }
@@ -151,6 +159,5 @@
             val line = exception.firstLine()
             return WireError(name, "text that is not JSON ($line)", "a JSON object").left()
         }
-    if (json !is JsonObject) return WireError(name, "another JSON value", "a JSON object").left()
-    return either { decode(WireObject(this, json, name)) }
+    return (json as? JsonObject)?.right() ?: WireError(name, "another JSON value", "a JSON object").left()
 }
--- a/src/test/kotlin/org/primrosesill/gateway/ConfigurationChangeCostTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ConfigurationChangeCostTest.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.route.ServingConfiguration
 import strikt.api.expectThat
@@ -32,7 +31,6 @@
 
     // Guards against changes that cost each gateway the whole configuration. Seen when an operator took single keys away
     // with 2,000 routes in force: 84 gateways fetched and decoded 435 KB for each key, and requests were late meanwhile.
-    @Tag("known-red")
     @TestFactory
     fun `a change costs what it changes and not the whole configuration`(): List<DynamicTest> =
         listOf(
--- a/src/test/kotlin/org/primrosesill/gateway/TestConfiguration.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/TestConfiguration.kt
@@ -37,6 +37,20 @@
 
     fun withoutRoute(route: Int): TestConfiguration = copy(routes = routes.filterIndexed { index, _ -> index != route })
 
+    /** Returns the next version, with a random change. */
+    fun changed(random: Random): TestConfiguration {
+        val account = random.nextInt(accounts.size)
+        val changed =
+            when (random.nextInt(5)) {
+                0 -> withoutKey(account)
+                1 -> withoutAccountKeys(account)
+                2 -> if (routes.size > 1) withoutRoute(random.nextInt(routes.size)) else this
+                3 -> copy(routes = routes.shuffled(random))
+                else -> withRoutes(random.nextInt(20))
+            }
+        return changed.copy(version = version + 1)
+    }
+
     fun withRoutes(count: Int): TestConfiguration =
         copy(routes = routes + List(count) { routeText(routes.size + it, Random(routes.size + it)) })
 }
