Announce small changes without the large ones before them

Callers' requests went to upstreams that had said that they leave for 320 to 800 ms if 2,000 routes were added just before (84 simulated gateways, UrgentChangesTest; 30 ms without). Cause: an announcement carried all changes since the last one or none, and a gateway that lacked a revision dropped the changes after it.

An announcement whose changes exceed a datagram is preceded by one with those that fit, for the zone of a reader. Changes after a gap are applied, as the directory keeps the highest revision of each item; the gateway's own revision does not advance, so that it fetches what it lacks. The large change still spreads from gateway to gateway.

--- a/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
@@ -51,15 +51,7 @@
     random: Random,
 ): List<Member> {
     val others = live.filter { it.router != self.router }
-    if (live.size > SMALL_FLEET_GATEWAYS && carriesChanges) {
-        return if (source ==
-            UpdateSource.OWN_ZONE
-        ) {
-            emptyList()
-        } else {
-            others.filter { it.availabilityZone == self.availabilityZone }
-        }
-    }
+    if (live.size > SMALL_FLEET_GATEWAYS && carriesChanges) return planUrgentChanges(self, live, source)
     return others
         .groupBy { it.availabilityZone }
         .flatMap { (zone, members) ->
@@ -69,6 +61,19 @@
         }
 }
 
+/**
+ * Returns the gateways to which [self] sends small changes from [source] that do not wait for a large one before them: its
+ * zone, or the whole of a small fleet. The receivers do not relay them, as each zone has a reader of its own.
+ */
+public fun planUrgentChanges(self: Member, live: List<Member>, source: UpdateSource): List<Member> {
+    val others = live.filter { it.router != self.router }
+    return when {
+        source == UpdateSource.OWN_ZONE -> emptyList()
+        live.size <= SMALL_FLEET_GATEWAYS -> others
+        else -> others.filter { it.availabilityZone == self.availabilityZone }
+    }
+}
+
 /** Recipients of one announcement in the own zone. Each of them relays it, so that few gateways are missed. */
 private const val OWN_ZONE_RECIPIENTS = 3
 private const val OTHER_ZONE_RECIPIENTS = 2
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -81,17 +81,29 @@
             delay(BATCHING_DELAY)
             val since = announcedRevision
             announcedRevision = directory.revision
-            val changes = relay.announcedChanges(since)
-            val announcement = fleet.announcement(directory, pendingSource ?: source, carriesChanges = changes != null)
+            val source = pendingSource ?: source
             pendingSource = null
-            send(announcement.addresses, announcement.message.withChanges(changes, since))
+            announce(source, since, relay.announcedChanges(since))
         }
     }
 
-    private fun ExchangeMessage.withChanges(changes: RelayedItems?, since: PlatformRevision): ExchangeMessage {
+    private fun announce(source: UpdateSource, since: PlatformRevision, changes: AnnouncedChanges) {
+        val announcement = fleet.announcement(directory, source, changes.isComplete)
+        if (changes.isComplete) {
+            send(announcement.addresses, announcement.message.withChanges(changes.items, since))
+            return
+        }
+        if (changes.items.items.isNotEmpty() && since > PlatformRevision.NONE) {
+            // The receivers apply these changes without the large ones before them, and keep their revision.
+            val urgent = fleet.urgentChangesMessage(source, since)
+            send(urgent.addresses, urgent.message.withChanges(changes.items, since = directory.revision))
+        }
+        send(announcement.addresses, announcement.message)
+    }
+
+    private fun ExchangeMessage.withChanges(changes: RelayedItems, since: PlatformRevision): ExchangeMessage {
         val message = copy(changesSince = since.number, changesSinceEra = since.era)
-        val hasDeltas = changes != null && changes.hasDeltas
-        return if (hasDeltas) message.copy(deltaChanges = changes) else message.copy(changes = changes)
+        return if (changes.hasDeltas) message.copy(deltaChanges = changes) else message.copy(changes = changes)
     }
 
     /** Records upstreams that have become silent, and broadcasts at once those that this gateway detected itself. */
@@ -161,11 +173,10 @@
     /** Returns the time since [page] was encoded. */
     fun ageMillisOf(page: ItemPage): Long = nowMillis() - page.encodedAtMillis
 
-    /** Applies the changes in [message] if no revision is missing between them and this gateway's own. */
+    /** Applies the changes in [message], also if this gateway lacks revisions before them, which it fetches. */
     private fun applyChanges(sender: Member, message: ExchangeMessage) {
         val changes = message.changes ?: message.deltaChanges ?: return
-        val since = PlatformRevision(message.changesSince, message.changesSinceEra)
-        if (since <= directory.revision) applyItems(sender, since, changes)
+        applyItems(sender, PlatformRevision(message.changesSince, message.changesSinceEra), changes)
     }
 
     private fun applyItems(peer: Member, since: PlatformRevision, relayed: RelayedItems): Boolean {
--- a/src/main/kotlin/org/primrosesill/gateway/ItemRelay.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ItemRelay.kt
@@ -17,6 +17,9 @@
 import org.primrosesill.generated.RelayedItem
 import org.primrosesill.generated.RelayedItems
 
+/** The changes that an announcement carries; they are not complete if some of them exceed a datagram. */
+internal class AnnouncedChanges(val items: RelayedItems, val isComplete: Boolean)
+
 /** Confined to the control thread. */
 internal class ItemRelay(private val directory: DirectoryManager) {
     /**
@@ -26,11 +29,19 @@
     fun itemsAfter(since: PlatformRevision, known: Set<TextDigest>): RelayedItems =
         relayed(directory.changesAfter(since, known))
 
-    /** Returns the changes after [since] for an announcement, or null if they exceed a datagram. */
-    fun announcedChanges(since: PlatformRevision): RelayedItems? {
+    /**
+     * Returns the changes after [since] that fit into a datagram, the small ones first: a change of an upstream's entry does
+     * not wait for a large configuration.
+     */
+    fun announcedChanges(since: PlatformRevision): AnnouncedChanges {
         val changes = directory.changesSince(since)
-        val characters = changes.sumOf { it.item.key.length + charactersOf(it) }
-        return if (characters <= MAXIMUM_CHANGES_CHARACTERS) relayed(changes) else null
+        var characters = 0
+        val fitting =
+            changes.sortedBy(::charactersOf).takeWhile {
+                characters += charactersOf(it)
+                characters <= MAXIMUM_CHANGES_CHARACTERS
+            }
+        return AnnouncedChanges(relayed(fitting), isComplete = fitting.size == changes.size)
     }
 
     /** Returns the items in [relayed], or null if it has a delta to a value that this gateway does not have. */
@@ -44,9 +55,10 @@
             }
         }
 
-    private fun charactersOf(change: ItemChange): Int =
-        change.delta?.characters ?: change.item.value
-            ?.length ?: 0
+    private fun charactersOf(change: ItemChange): Int {
+        val valueCharacters = change.delta?.characters ?: change.item.value?.length ?: 0
+        return change.item.key.length + valueCharacters
+    }
 
     private fun relayed(changes: List<ItemChange>) =
         RelayedItems(
--- a/src/test/kotlin/org/primrosesill/gateway/ItemRelayTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ItemRelayTest.kt
@@ -15,7 +15,6 @@
 import org.primrosesill.request.RecordingEvents
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 
 class ItemRelayTest {
@@ -107,9 +106,9 @@
                 val receiver = Gateway()
                 receiver.apply(held + 1L, versions[held].text)
                 val changes = sender.relay.announcedChanges(PlatformRevision(19))
-                expectThat(changes).isNotNull()
+                expectThat(changes.isComplete).isEqualTo(true)
                 val expected = if (held == 18) versions.last().text else versions[held].text
-                expectThat(receiver.apply(checkNotNull(changes))).isEqualTo(held == 18)
+                expectThat(receiver.apply(changes.items)).isEqualTo(held == 18)
                 expectThat(receiver.text).isEqualTo(expected)
             }
         }
--- a/src/test/kotlin/org/primrosesill/gateway/UrgentChangesTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/UrgentChangesTest.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.model.PoolId
 import strikt.api.expectThat
@@ -22,7 +21,6 @@
 
     // Guards against gateways that send requests to an upstream which has left, because the change of its entry waits for
     // a large configuration before it. Each revision was applied only after all revisions before it.
-    @Tag("known-red")
     @TestFactory
     fun `an upstream that leaves is known as soon beside a large change as without it`(): List<DynamicTest> =
         listOf(
