Read a caller's requests at the rate at which it reads the responses

Two causes let one caller fill the memory: responses were queued without a limit while it pipelined requests and did not read, and each handled request let a further read of up to 64 KB in, whatever was waiting. A request is now handled only when the connection accepts its response, and input is read only while few messages wait. A connection that is being closed after a rejection reads no more input, and is closed after the idle timeout at the latest; it used to stay open until the caller read.

--- a/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
@@ -68,7 +68,7 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         when {
             closing -> ReferenceCountUtil.release(message)
-            job != null -> queue(message)
+            job != null || pipelined.isNotEmpty() || !channel.isWritable -> queue(message)
             else -> process(message)
         }
     }
@@ -141,12 +141,20 @@
         // A response that was started before draining began does not carry "Connection: close".
         if (response.closesConnection || isDraining) return closeAfterWrites()
         restartTimeout(connections.limits().idleTimeout) { close() }
-        channel.config().isAutoRead = true
-        while (pipelined.isNotEmpty() && job == null && !closing) process(pipelined.removeFirst())
+        processPipelined()
+    }
+
+    /** Processes queued input while no request is being handled and the caller reads its responses. */
+    private fun processPipelined() {
+        while (pipelined.isNotEmpty() && job == null && !closing && channel.isWritable) {
+            process(pipelined.removeFirst())
+        }
+        if (pipelined.size <= MAXIMUM_PIPELINED_MESSAGES && !closing) channel.config().isAutoRead = true
     }
 
     private fun closeAfterWrites() {
         closing = true
+        restartTimeout(connections.limits().idleTimeout) { close() }
         channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER).addListener { written ->
             if (written.isSuccess) channel.config().setOption(ChannelOption.SO_LINGER, LINGER_DISABLED)
             close()
@@ -166,13 +174,17 @@
         if (closing) return
         closing = true
         receiving = null
+        channel.config().isAutoRead = false
+        restartTimeout(connections.limits().idleTimeout) { close() }
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close")
         channel.writeAndFlush(response).addListener { close() }
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) onWritable?.invoke()
+        if (!channel.isWritable) return
+        onWritable?.invoke()
+        processPipelined()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
