Drop the oldest gossip messages that wait to be handled

Each datagram started a coroutine on the control thread, without a limit: datagrams that arrive faster than they are handled were kept until the memory was exhausted. At most 128 messages wait now; later rounds repeat the content of those dropped. EndlessPeerTest: 3,000 datagrams arrive while one is handled; fewer than 300 are handled afterwards. The test needs the new construction of GossipSocket and was not run against the old code.

--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -107,8 +107,8 @@
     private val upstreamStateReconciler = UpstreamStateReconciler(activity, loads, index, coldStartBudget)
     private val peerClient = PeerClient(client)
     val gossipSocket: GossipSocket =
-        GossipSocket(peerSocketAddress(settings), settings.gossipPort, events) { message ->
-            controlScope.launch { exchangeLoop.receive(message) }
+        GossipSocket(peerSocketAddress(settings), settings.gossipPort, events, controlScope) {
+            exchangeLoop.receive(it)
         }
     private val seeds = settings.peers.toSet() - settings.peerAddress
     private val startupReadPolicy =
--- a/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
@@ -4,6 +4,10 @@
  */
 package org.primrosesill.gateway
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
 import org.primrosesill.event.EventLog
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.ExchangeMessage
@@ -20,23 +24,27 @@
 import kotlin.concurrent.thread
 
 /**
- * Sends from any thread, and receives on a dedicated thread.
+ * Sends from any thread, and receives on a dedicated thread. Messages that arrive faster than they are handled replace the
+ * oldest ones that wait, as later rounds repeat the content of every message.
  *
  * @param ownAddress peer address of this gateway; datagrams use its IP address and [port]
  * @param port gossip port of all gateways
- * @param onMessage receives each message on the receiving thread
+ * @param scope handles the messages, one at a time
  */
 internal class GossipSocket(
     ownAddress: SocketAddress,
     private val port: Int,
     private val events: EventLog,
+    private val scope: CoroutineScope,
     private val onMessage: (ExchangeMessage) -> Unit,
 ) : AutoCloseable {
     private val channel = DatagramChannel.open().bind(ownAddress.copy(port = port).toInetSocketAddress())
+    private val received = Channel<ExchangeMessage>(MAXIMUM_WAITING_MESSAGES, BufferOverflow.DROP_OLDEST)
     private var faults = 0L
 
-    /** Starts the receiving thread. */
+    /** Starts receiving. */
     fun start() {
+        scope.launch { for (message in received) scope.launch { onMessage(message) }.join() }
         thread(isDaemon = true, name = "gossip") { receiveAll() }
     }
 
@@ -68,7 +76,7 @@
                 channel.receive(buffer)
                 buffer.flip()
                 val text = Charsets.UTF_8.decode(buffer).toString()
-                onMessage(messageJson.decodeFromString(ExchangeMessage.serializer(), text))
+                received.trySend(messageJson.decodeFromString(ExchangeMessage.serializer(), text))
             } catch (_: ClosedChannelException) {
                 return
             } catch (exception: IOException) {
@@ -87,6 +95,9 @@
 
     private companion object {
         const val MAXIMUM_DATAGRAM_BYTES = 60_000
+
+        /** A few messages for each of the peers that send in one round. */
+        const val MAXIMUM_WAITING_MESSAGES = 128
         const val FAULTS_PER_EVENT = 100L
     }
 }
--- a/src/test/kotlin/org/primrosesill/gateway/EndlessPeerTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/EndlessPeerTest.kt
@@ -4,6 +4,10 @@
 package org.primrosesill.gateway
 
 import arrow.core.Either
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest
@@ -12,14 +16,21 @@
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.concurrent.throwingReporter
 import org.primrosesill.discovery.PlatformRevision
+import org.primrosesill.event.noOpEventLog
+import org.primrosesill.generated.ExchangeMessage
+import org.primrosesill.model.SocketAddress
 import org.primrosesill.transport.RawUpstream
 import org.primrosesill.transport.TrafficLoop
+import org.primrosesill.transport.freePort
 import org.primrosesill.transport.nettyUpstreamClient
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isA
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import java.io.IOException
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
 class EndlessPeerTest {
@@ -66,6 +77,35 @@
         expectThat(decompress(bomb, limit)).isA<Either.Left<String>>().get { value }.contains("exceeds")
     }
 
+    // Guards against datagrams that are kept until the memory of the process is exhausted, because they arrive faster than
+    // they are handled.
+    @Test
+    fun `datagrams that arrive while one is handled are kept up to a limit`() {
+        val port = freePort()
+        val scope = CoroutineScope(Dispatchers.IO + SupervisorJob())
+        val firstHandled = CountDownLatch(1)
+        val handled = AtomicInteger()
+        val receiver =
+            GossipSocket(SocketAddress("127.0.0.2", port), port, noOpEventLog(), scope) {
+                handled.incrementAndGet()
+                firstHandled.await()
+            }
+        val sender = GossipSocket(SocketAddress("127.0.0.3", port), port, noOpEventLog(), scope) {}
+        receiver.start()
+        repeat(DATAGRAMS) {
+            sender.send(listOf("127.0.0.2:$port"), ExchangeMessage(it.toLong(), emptyList()))
+            // Slow enough for the buffer of the socket.
+            if (it % 10 == 0) Thread.sleep(1)
+        }
+        Thread.sleep(200)
+        firstHandled.countDown()
+        Thread.sleep(1_000)
+        receiver.close()
+        sender.close()
+        scope.cancel()
+        expectThat(handled.get()).describedAs("handled datagrams").isGreaterThan(1).isLessThan(DATAGRAMS / 10)
+    }
+
     private fun endlessPeer(case: Case, sent: AtomicLong) =
         RawUpstream { connection ->
             connection.readRequest()
@@ -81,6 +121,7 @@
         }
 
     private companion object {
+        const val DATAGRAMS = 3_000
         val kilobyte = "x".repeat(1_000)
         const val CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
