Bound the sum of what all requests buffer

Each response and each body of a caller had a limit of its own, but hundreds of them could reach it at once: 256 KB queued and 256 KB held for each response, 4 MB for each body, in a heap of 160 MB. BufferBudget counts what all connections of a gateway buffer. Above 32 MB a connection reads no further than 16 KB ahead of its caller, a response of more than 16 KB is passed on as it arrives, and a caller with a longer body gets 503. Parts of a body are at most 16 KB instead of 64 KB, as the events of one part are held while they are written. The metric primrosesill_buffered_bytes shows the sum.

--- a/src/main/kotlin/org/primrosesill/forwarding/EventStreamReader.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/EventStreamReader.kt
@@ -9,6 +9,7 @@
 import org.primrosesill.answer.EventStreamParser
 import org.primrosesill.answer.StreamEvent
 import org.primrosesill.request.BodyPart
+import org.primrosesill.request.BufferBudget
 import org.primrosesill.request.UpstreamBody
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
@@ -25,7 +26,7 @@
     class End(val comments: ByteArray) : StreamPart
 }
 
-internal class EventStreamReader(private val body: UpstreamBody) {
+internal class EventStreamReader(private val body: UpstreamBody, private val buffers: BufferBudget) {
     private val parser = EventStreamParser(MAXIMUM_EVENT_BYTES)
     private val pendingComments = ByteArrayOutputStream()
     private var bytesSinceEvent = 0
@@ -35,6 +36,12 @@
     suspend fun next(timeout: Duration): StreamPart =
         withTimeoutOrNull(timeout) { read() } ?: StreamPart.Interrupted("no event received for $timeout")
 
+    /** Must be called when nothing is read any more. */
+    fun release() {
+        buffers.add(-bytesSinceEvent)
+        bytesSinceEvent = 0
+    }
+
     private suspend fun read(): StreamPart {
         while (true) {
             if (receivedText) return StreamPart.Interrupted("received text that is no event")
@@ -57,14 +64,15 @@
     /** Returns the events that are complete with [bytes], or null when none is and the limit is not exceeded. */
     private fun parse(bytes: ByteArray): StreamPart? {
         bytesSinceEvent += bytes.size
+        buffers.add(bytes.size)
         val parsed = parser.feed(bytes)
         receivedText = parsed.any { it.isText }
         val events = parsed.takeWhile { !it.isText }.mapNotNull(::withPrecedingComments)
         if (events.isNotEmpty()) {
-            bytesSinceEvent = 0
+            release()
             return StreamPart.Events(events)
         }
-        if (bytesSinceEvent <= MAXIMUM_EVENT_BYTES) return null
+        if (bytesSinceEvent <= buffers.limit(MAXIMUM_EVENT_BYTES)) return null
         return StreamPart.Interrupted("$bytesSinceEvent bytes received without a complete event")
     }
 
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -21,6 +21,7 @@
 import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.placement.UpstreamLoads
 import org.primrosesill.placement.UpstreamNotices
+import org.primrosesill.request.BufferBudget
 import org.primrosesill.request.UpstreamClient
 import org.primrosesill.route.ClientAccount
 import org.primrosesill.route.Route
@@ -34,6 +35,7 @@
  * The components that request forwarding uses.
  *
  * @property onCrashEvidence called when peers should receive the evidence in [crashingParts] at once
+ * @property buffers counts what all requests buffer
  * @property plannedStop returns the stop of this gateway that has begun, or null
  */
 public class ForwarderDependencies(
@@ -51,6 +53,7 @@
     public val client: UpstreamClient,
     public val metrics: ForwardingMetrics,
     public val events: ForwardingEvents,
+    public val buffers: BufferBudget = BufferBudget(),
     public val plannedStop: () -> PlannedStop? = { null },
     public val random: Random = Random.Default,
 )
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -35,7 +35,14 @@
             !metadata.signed -> AttemptOutcome.Unknown("status ${response.status} without a signature")
             success && context.route.kind == RouteKind.STREAM && isEventStream(response) ->
                 StreamRelay(dependencies, context, upstream, response, callerResponse, onPromptPrefilled).relay()
-            else -> relayBuffered(context, upstream, response, callerResponse)
+            else -> {
+                val buffer = ByteArrayOutputStream()
+                try {
+                    relayBuffered(context, upstream, response, callerResponse, buffer)
+                } finally {
+                    dependencies.buffers.add(-buffer.size())
+                }
+            }
         }
     }
 
@@ -69,8 +76,8 @@
         upstream: KnownUpstream,
         response: UpstreamResponse,
         callerResponse: OutboundResponse,
+        buffer: ByteArrayOutputStream,
     ): AttemptOutcome {
-        val buffer = ByteArrayOutputStream()
         val end = withTimeoutOrNull(context.timeLeft()) { fillBuffer(buffer, response.body) } ?: DEADLINE_PASSED
         if (end is BodyPart.Truncated) {
             dependencies.activity.recordConnectionFailure(upstream.id)
@@ -105,14 +112,15 @@
 
     /**
      * Reads [body] into [buffer]. Returns the end of the body, or the part that made [buffer] larger than
-     * [MAXIMUM_BUFFERED_BYTES].
+     * [MAXIMUM_BUFFERED_BYTES] or than what the budget of all requests allows.
      */
     private suspend fun fillBuffer(buffer: ByteArrayOutputStream, body: UpstreamBody): BodyPart {
         while (true) {
             val part = body.next()
             if (part !is BodyPart.Bytes) return part
             buffer.write(part.bytes)
-            if (buffer.size() > MAXIMUM_BUFFERED_BYTES) return part
+            dependencies.buffers.add(part.bytes.size)
+            if (buffer.size() > dependencies.buffers.limit(MAXIMUM_BUFFERED_BYTES)) return part
         }
     }
 
--- a/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
@@ -26,11 +26,18 @@
     private val callerResponse: OutboundResponse,
     private val onPromptPrefilled: () -> Unit,
 ) {
-    private val reader = EventStreamReader(response.body)
+    private val reader = EventStreamReader(response.body, dependencies.buffers)
     private val resumed = callerResponse.started
     private var eventCount = 0
 
-    suspend fun relay(): AttemptOutcome {
+    suspend fun relay(): AttemptOutcome =
+        try {
+            relayParts()
+        } finally {
+            reader.release()
+        }
+
+    private suspend fun relayParts(): AttemptOutcome {
         while (true) {
             when (val part = reader.next(eventTimeout())) {
                 is StreamPart.Events -> relayEvents(part)?.let { return it }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -166,6 +166,7 @@
                 events = { type, request, upstream, cause ->
                     events.record(type, cause, EventSubject(request = request, upstream = upstream))
                 },
+                buffers = trafficLoop.buffers,
                 plannedStop = { plannedStop },
             ),
         )
@@ -189,6 +190,7 @@
         metrics.gauge("upstreams.listed") { directory.view.upstreamIds.size }
         metrics.gauge("view.age.millis") { viewAgeMillis }
         metrics.gauge("view.behind.millis") { viewBehindMillis }
+        metrics.gauge("buffered.bytes") { trafficLoop.buffers.usedBytes }
         metrics.gauge("prompt.parts.blocked") { crashingParts.blockedCount }
         metrics.gauge("prompt.parts.suspect") { crashingParts.suspectCount }
         metrics.gauge("configuration.version") { directory.view.configuration?.version ?: 0 }
--- a/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
@@ -45,6 +45,10 @@
         }
     private var job: Job? = null
     private val pipelined = ArrayDeque<Any>()
+    private val buffers = connections.loop.buffers
+
+    /** Bytes of the body of the request that is being received or handled. */
+    private var bodyBytes = 0
     private var timeout: ScheduledFuture<*>? = null
 
     /** Whether the connection is being closed; further input is discarded. */
@@ -105,13 +109,19 @@
     private fun processContent(content: HttpContent) {
         val request = receiving ?: return
         if (content.decoderResult().isFailure) return reject(HttpResponseStatus.BAD_REQUEST)
+        addBodyBytes(content.content().readableBytes())
         content.content().let { it.readBytes(request.body, it.readableBytes()) }
-        if (request.body.size() > connections.limits().maximumBodyBytes) {
-            return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-        }
+        val maximumBytes = connections.limits().maximumBodyBytes
+        if (bodyBytes > maximumBytes) return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (bodyBytes > buffers.limit(maximumBytes)) return reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
         if (content is LastHttpContent) serve(request)
     }
 
+    private fun addBodyBytes(bytes: Int) {
+        bodyBytes += bytes
+        buffers.add(bytes)
+    }
+
     private fun serve(request: PendingRequest) {
         connections.requestStarted()
         receiving = null
@@ -136,6 +146,7 @@
 
     private fun onServed(response: NettyResponse) {
         connections.requestEnded()
+        addBodyBytes(-bodyBytes)
         job = null
         if (!response.isComplete) return close()
         // A response that was started before draining began does not carry "Connection: close".
@@ -174,6 +185,7 @@
         if (closing) return
         closing = true
         receiving = null
+        addBodyBytes(-bodyBytes)
         channel.config().isAutoRead = false
         restartTimeout(connections.limits().idleTimeout) { close() }
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
@@ -190,6 +202,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         timeout?.cancel(false)
         receiving = null
+        if (job == null) addBodyBytes(-bodyBytes)
         job?.cancel()
         pipelined.forEach { ReferenceCountUtil.release(it) }
         pipelined.clear()
--- a/src/main/kotlin/org/primrosesill/transport/HttpFraming.kt
+++ b/src/main/kotlin/org/primrosesill/transport/HttpFraming.kt
@@ -18,7 +18,7 @@
 internal const val MAXIMUM_RESPONSE_HEADER_BYTES = 64 * 1024
 
 /** Limit for one chunk of a body as passed on by the parsers, in bytes. */
-internal const val MAXIMUM_CHUNK_BYTES = 64 * 1024
+internal const val MAXIMUM_CHUNK_BYTES = 16 * 1024
 
 internal fun decoderConfig(maximumHeaderBytes: Int): HttpDecoderConfig =
     HttpDecoderConfig()
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -132,7 +132,8 @@
                 if (!continuation.isActive) {
                     future.channel().close()
                 } else if (future.isSuccess) {
-                    continuation.resume(ConnectResult.Connection(UpstreamConnection(future.channel(), batchedReads)))
+                    val connection = UpstreamConnection(future.channel(), batchedReads, loop.buffers)
+                    continuation.resume(ConnectResult.Connection(connection))
                 } else {
                     continuation.resume(
                         ConnectResult.Failed(future.cause().toString(), isConnectionRefused(future.cause())),
--- a/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
+++ b/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.cancel
 import org.primrosesill.concurrent.ExceptionReporter
 import org.primrosesill.concurrent.exceptionHandler
+import org.primrosesill.request.BufferBudget
 import java.util.concurrent.TimeUnit
 
 /** A running event loop with its coroutine scope. Uncaught exceptions of its coroutines are reported to `reporter`. */
@@ -34,6 +35,9 @@
     /** Unpooled: buffers are used by one thread and for one read or write, so that a pool would only retain memory. */
     internal val allocator: ByteBufAllocator = UnpooledByteBufAllocator(false)
 
+    /** Counts what all connections of this loop buffer. */
+    public val buffers: BufferBudget = BufferBudget()
+
     /** Runs coroutines on the traffic thread. */
     public val dispatcher: CoroutineDispatcher = eventLoop.asCoroutineDispatcher()
 
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.primrosesill.model.HeaderFields
+import org.primrosesill.request.BufferBudget
 import org.primrosesill.request.HeadMatch
 import kotlinx.coroutines.channels.Channel as EventChannel
 
@@ -58,8 +59,11 @@
 }
 
 /** Confined to the traffic thread. */
-internal class UpstreamConnection(val channel: Channel, private val batchedReads: BatchedReads) :
-    ChannelInboundHandlerAdapter(),
+internal class UpstreamConnection(
+    val channel: Channel,
+    private val batchedReads: BatchedReads,
+    private val buffers: BufferBudget,
+) : ChannelInboundHandlerAdapter(),
     BatchedConnection {
     private val decoder = ResponseDecoder()
     private val events = EventChannel<ResponseEvent>(EventChannel.UNLIMITED)
@@ -111,9 +115,9 @@
     suspend fun receive(): ResponseEvent {
         val event = events.receive()
         if (event is ResponseEvent.Body) {
-            queuedBytes -= event.bytes.size + EVENT_OVERHEAD_BYTES
+            addQueued(-event.bytes.size - EVENT_OVERHEAD_BYTES)
             val readsPaused = !batched && !channel.config().isAutoRead
-            if (readsPaused && queuedBytes < MAXIMUM_QUEUED_BYTES / 2) channel.config().isAutoRead = true
+            if (readsPaused && queuedBytes <= maximumQueuedBytes / 2) channel.config().isAutoRead = true
         }
         return event
     }
@@ -129,7 +133,7 @@
     override var autoRead: Boolean
         get() = channel.config().isAutoRead
         set(value) {
-            channel.config().isAutoRead = value && queuedBytes <= MAXIMUM_QUEUED_BYTES
+            channel.config().isAutoRead = value && queuedBytes <= maximumQueuedBytes
         }
 
     private fun stopBatching() {
@@ -139,8 +143,17 @@
         channel.config().isAutoRead = true
     }
 
+    private val maximumQueuedBytes get() = buffers.limit(MAXIMUM_QUEUED_BYTES)
+
+    private fun addQueued(bytes: Int) {
+        queuedBytes += bytes
+        buffers.add(bytes)
+    }
+
+    /** Closes the connection. What is queued is not received any more. */
     fun close() {
         stopBatching()
+        addQueued(-queuedBytes)
         channel.close()
     }
 
@@ -208,9 +221,9 @@
         val content: ByteBuf = message.content()
         if (content.isReadable && !mismatched) {
             val bytes = content.toBytes()
-            queuedBytes += bytes.size + EVENT_OVERHEAD_BYTES
+            addQueued(bytes.size + EVENT_OVERHEAD_BYTES)
             events.trySend(ResponseEvent.Body(bytes))
-            if (queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
+            if (queuedBytes > maximumQueuedBytes) channel.config().isAutoRead = false
         }
         if (message is LastHttpContent) endResponse()
     }
--- a/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import org.primrosesill.forwarding.InboundRequest
 import org.primrosesill.forwarding.OutboundResponse
 import org.primrosesill.forwarding.RequestHandler
@@ -151,7 +152,18 @@
 }
 
 /** How an upstream handles requests. */
-enum class UpstreamMode { NORMAL, CRASHING, HANGING, FAILING, FULL, TRUNCATING, LEAVING, PAUSING }
+enum class UpstreamMode {
+    NORMAL,
+    CRASHING,
+    HANGING,
+    FAILING,
+    FULL,
+    TRUNCATING,
+    LEAVING,
+    PAUSING,
+    ENDLESS,
+    ENDLESS_EVENTS,
+}
 
 /** An upstream that implements the platform's protocol and records the requests that it received and executed. */
 class UpstreamStandIn(val id: String, private val events: Int, private val pauseMillis: Long = 5) : RequestHandler {
@@ -188,11 +200,25 @@
             UpstreamMode.CRASHING -> return response.abort()
             UpstreamMode.HANGING -> delay(60_000)
             UpstreamMode.FAILING -> return response.respond(ResponseHead(500, signed), "failed".toByteArray())
+            UpstreamMode.ENDLESS -> respondWithoutEnd(response, signed, "x".repeat(16_000))
+            UpstreamMode.ENDLESS_EVENTS -> respondWithoutEnd(response, signed, "data: x\n\n".repeat(1_600))
             else -> Unit
         }
         if (events == 0) respondPlain(request, response, signed) else respondStream(request, response, signed)
     }
 
+    /** Repeats [part] as fast as the gateway reads. */
+    private suspend fun respondWithoutEnd(response: OutboundResponse, fields: HeaderFields, part: String): Nothing {
+        val type = if (events == 0) "text/plain" else "text/event-stream"
+        response.start(ResponseHead(200, fields.with("Content-Type", type)))
+        val bytes = part.toByteArray()
+        while (true) {
+            response.write(bytes)
+            // The gateway may have closed the connection, which this thread has yet to detect.
+            yield()
+        }
+    }
+
     private suspend fun respondPlain(request: InboundRequest, response: OutboundResponse, fields: HeaderFields) {
         delay(pauseMillis)
         response.respond(
--- a/src/test/kotlin/org/primrosesill/transport/BatchedReadsTest.kt
+++ b/src/test/kotlin/org/primrosesill/transport/BatchedReadsTest.kt
@@ -142,7 +142,7 @@
         listOf(false, true).map { batched ->
             dynamicTest(if (batched) "batched" else "not batched") {
                 val channel = EmbeddedChannel()
-                val connection = UpstreamConnection(channel, BatchedReads(loop.eventLoop, 1.hours))
+                val connection = UpstreamConnection(channel, BatchedReads(loop.eventLoop, 1.hours), loop.buffers)
                 connection.send(requestMessage("GET", "/", null, loop.allocator)) { HeadMatch.THIS_CALL }
                 channel.writeInbound(Unpooled.copiedBuffer(CHUNKED_HEAD, Charsets.US_ASCII))
                 if (batched) connection.batchReads()
