List the case of streams of text whose samples may miss what is buffered

EndlessUpstreamsTest, engine, ENDLESS, /chat/: passed in three runs, failed in the fourth, as 0 bytes were buffered at all samples: the stream ends within milliseconds, after 256 KB. The case moves unchanged to the listed test; not compiled since.

--- a/src/test/kotlin/org/primrosesill/platform/EndlessUpstreamsTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/EndlessUpstreamsTest.kt
@@ -46,7 +46,6 @@
         tests(
             Case("desk", UpstreamMode.ENDLESS, "/stock/", "/chat/"),
             Case("desk", UpstreamMode.ENDLESS, "/book/", "/chat/"),
-            Case("engine", UpstreamMode.ENDLESS, "/chat/", "/stock/"),
         )
 
     // Guards against the same with streams of valid events. Another request failed in some runs; see KNOWN-RED.txt.
@@ -56,6 +55,7 @@
         tests(
             Case("engine", UpstreamMode.ENDLESS_EVENTS, "/chat/", "/stock/"),
             Case("engine", UpstreamMode.ENDLESS_EVENTS, "/long/", "/stock/"),
+            Case("engine", UpstreamMode.ENDLESS, "/chat/", "/stock/"),
         )
 
     private fun tests(vararg cases: Case): List<DynamicTest> =
