--- a/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/CallerConnection.kt
@@ -45,6 +45,10 @@
         }
     private var job: Job? = null
     private val pipelined = ArrayDeque<Any>()
+    private val buffers = connections.loop.buffers
+
+    /** Bytes of the body of the request that is being received or handled. */
+    private var bodyBytes = 0
     private var timeout: ScheduledFuture<*>? = null
 
     /** Whether the connection is being closed; further input is discarded. */
@@ -68,7 +72,7 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         when {
             closing -> ReferenceCountUtil.release(message)
-            job != null -> queue(message)
+            job != null || pipelined.isNotEmpty() || !channel.isWritable -> queue(message)
             else -> process(message)
         }
     }
@@ -105,13 +109,19 @@
     private fun processContent(content: HttpContent) {
         val request = receiving ?: return
         if (content.decoderResult().isFailure) return reject(HttpResponseStatus.BAD_REQUEST)
+        addBodyBytes(content.content().readableBytes())
         content.content().let { it.readBytes(request.body, it.readableBytes()) }
-        if (request.body.size() > connections.limits().maximumBodyBytes) {
-            return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-        }
+        val maximumBytes = connections.limits().maximumBodyBytes
+        if (bodyBytes > maximumBytes) return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (bodyBytes > buffers.limit(maximumBytes)) return reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
         if (content is LastHttpContent) serve(request)
     }
 
+    private fun addBodyBytes(bytes: Int) {
+        bodyBytes += bytes
+        buffers.add(bytes)
+    }
+
     private fun serve(request: PendingRequest) {
         connections.requestStarted()
         receiving = null
@@ -136,17 +146,26 @@
 
     private fun onServed(response: NettyResponse) {
         connections.requestEnded()
+        addBodyBytes(-bodyBytes)
         job = null
         if (!response.isComplete) return close()
         // A response that was started before draining began does not carry "Connection: close".
         if (response.closesConnection || isDraining) return closeAfterWrites()
         restartTimeout(connections.limits().idleTimeout) { close() }
-        channel.config().isAutoRead = true
-        while (pipelined.isNotEmpty() && job == null && !closing) process(pipelined.removeFirst())
+        processPipelined()
+    }
+
+    /** Processes queued input while no request is being handled and the caller reads its responses. */
+    private fun processPipelined() {
+        while (pipelined.isNotEmpty() && job == null && !closing && channel.isWritable) {
+            process(pipelined.removeFirst())
+        }
+        if (pipelined.size <= MAXIMUM_PIPELINED_MESSAGES && !closing) channel.config().isAutoRead = true
     }
 
     private fun closeAfterWrites() {
         closing = true
+        restartTimeout(connections.limits().idleTimeout) { close() }
         channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER).addListener { written ->
             if (written.isSuccess) channel.config().setOption(ChannelOption.SO_LINGER, LINGER_DISABLED)
             close()
@@ -166,18 +185,24 @@
         if (closing) return
         closing = true
         receiving = null
+        addBodyBytes(-bodyBytes)
+        channel.config().isAutoRead = false
+        restartTimeout(connections.limits().idleTimeout) { close() }
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close")
         channel.writeAndFlush(response).addListener { close() }
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) onWritable?.invoke()
+        if (!channel.isWritable) return
+        onWritable?.invoke()
+        processPipelined()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timeout?.cancel(false)
         receiving = null
+        if (job == null) addBodyBytes(-bodyBytes)
         job?.cancel()
         pipelined.forEach { ReferenceCountUtil.release(it) }
         pipelined.clear()
--- a/src/test/kotlin/org/primrosesill/gateway/HeldPartsRecoveryTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/HeldPartsRecoveryTest.kt
@@ -5,6 +5,7 @@
 
 import arrow.core.Either
 import arrow.core.right
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
@@ -34,6 +35,7 @@
 import org.primrosesill.request.UpstreamResponse
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
 
 private val CONFIGURATION =
@@ -85,8 +87,13 @@
                         DirectoryManager(UpstreamDirectory(usersPlatformAdapter().itemDecoder), events, { 0 }, {}) {}
                     directory.applyListing(listing(case.engines), "test")
                     var calls = 0
+                    var current = 0
+                    var mostAtOnce = 0
                     val fetchFromEngine: suspend (String) -> Either<FeedError, List<PromptPartId>> = {
                         calls++
+                        mostAtOnce = maxOf(mostAtOnce, ++current)
+                        delay(5)
+                        current--
                         emptyList<PromptPartId>().right()
                     }
                     val recovery =
@@ -108,6 +115,8 @@
                     fleet.tick(3_100)
                     advanceTimeBy(1_000)
                     expectThat(calls).describedAs("later").isEqualTo(case.engines)
+                    // Each of these engines may send a response of the maximum length.
+                    expectThat(mostAtOnce).describedAs("calls at the same time").isLessThanOrEqualTo(4)
                 }
             }
         }
