Replay late news in a large fleet, and show what it breaks

The replay could not be late.

Change: for some seconds of a replay, messages of the exchange, requests after their placement and responses wait at their router (LateNews).

Cause in the replay: the age of a report does not include the time for which its message waits to be read, so a router takes its own report back as a newer one. UpstreamLoadsTest shows that with two routers and fails as well; a fix needs an identity of each report in the exchange message.

--- a/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
+++ b/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
@@ -45,6 +45,10 @@
     /** Requests that reached an engine with more requests in flight than twice the mean of the pool plus three. */
     var overLoadBound = 0
 
+    /** The requests in [overLoadBound], and all requests, by the age of the engine that they reached. */
+    val overLoadBoundByAge = sortedMapOf<EngineAge, Int>()
+    val requestsByAge = sortedMapOf<EngineAge, Int>()
+
     /** For each request in the order of arrival, its time in milliseconds and whether it counts in [overLoadBound]. */
     val loadBoundChecks = mutableListOf<Pair<Long, Boolean>>()
 
@@ -72,7 +76,10 @@
     }
 }
 
-class ReplayEngine(var upstream: KnownUpstream) {
+/** Whether an engine has joined within the last seconds, is leaving, or neither. */
+enum class EngineAge { JOINED, OLDER, LEAVING }
+
+class ReplayEngine(var upstream: KnownUpstream, val startedAtMillis: Long = 0) {
     val cached = HashSet<PromptPartId>()
     var idleAtMillis = 0L
     var inFlight = 0
@@ -90,10 +97,11 @@
     private val exchangeMillis: Long = 350,
     private val latencyTargetMillis: Long = 800,
     private val countDelayMillis: Long = 40,
+    private val lateNews: LateNews = LateNews.NONE,
 ) {
     private val random = Random(seed)
     private var now = 0L
-    private val engines = engines.associateByTo(LinkedHashMap(), { it.id }, ::ReplayEngine)
+    private val engines = engines.associateByTo(LinkedHashMap(), { it.id }, { ReplayEngine(it) })
     private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
     private var nextEventNumber = 0L
     private val routers = List(routers) { Router(it, routers) }
@@ -163,7 +171,7 @@
     /** Starts an engine, which is cold for [coldMillis]. */
     fun startEngine(number: Int, coldMillis: Long) {
         val known = engine(number, coldUntilMillis = now + coldMillis)
-        engines[known.id] = ReplayEngine(known)
+        engines[known.id] = ReplayEngine(known, startedAtMillis = now)
         publish(engines.values.map { it.upstream })
     }
 
@@ -198,6 +206,11 @@
         events += Event(millis, nextEventNumber++, action)
     }
 
+    /** Runs [action] in [delayMillis], at once if that is 0. */
+    private fun after(delayMillis: Long, action: () -> Unit) {
+        if (delayMillis == 0L) action() else at(now + delayMillis, action)
+    }
+
     fun play(load: List<ReplayRequest>): ReplayResult {
         load.forEach { request -> at(request.atMillis) { arrive(request) } }
         val end = load.maxOf { it.atMillis }
@@ -245,34 +258,63 @@
 
     private fun serve(router: Router, request: ReplayRequest, chosen: PlacementResult.Chosen) {
         val engine = engines.getValue(chosen.upstream.id)
+        router.activity.recordStart(engine.upstream.id, chosen.prefillTokens)
+        after(lateNews.requestDelayMillis(now)) { reach(engine, router, request, chosen) }
+    }
+
+    /** Plays the arrival of a request at [engine] and what follows from it. */
+    private fun reach(engine: ReplayEngine, router: Router, request: ReplayRequest, chosen: PlacementResult.Chosen) {
         count(engine)
-        if (engine.hangs) return hang(router, engine)
-        if (random.nextDouble() < engine.failureRate) return router.activity.recordErrorResponse(engine.upstream.id)
-        val prefillTokens = prefill(engine, request.prompt, chosen.prefixSource?.let { engines.getValue(it.id) })
+        if (engine.hangs) return hang(router, engine, chosen)
+        if (random.nextDouble() < engine.failureRate) return fail(router, engine, chosen)
+        val prefillTokens = prefill(engine, request.prompt, chosen.prefixSource?.let { engines[it.id] })
         engine.inFlight++
-        router.activity.recordStart(engine.upstream.id, chosen.prefillTokens)
         val firstEventMillis = maxOf(now, engine.idleAtMillis) + prefillTokens / PREFILL_TOKENS_PER_MILLISECOND
         engine.idleAtMillis = firstEventMillis
         if (firstEventMillis - now > latencyTargetMillis) result.late++
+        respond(engine, router, request, chosen, firstEventMillis)
+    }
+
+    private fun respond(
+        engine: ReplayEngine,
+        router: Router,
+        request: ReplayRequest,
+        chosen: PlacementResult.Chosen,
+        firstEventMillis: Long,
+    ) {
+        val upstream = engine.upstream.id
         at(firstEventMillis) {
-            router.activity.recordPrefillEnd(engine.upstream.id, chosen.prefillTokens)
-            router.index.recordCached(request.prompt.sharedParts, engine.upstream.id)
-            router.loads.recordReported(engine.upstream.id, engine.inFlight)
+            val load = engine.inFlight
+            after(lateNews.responseDelayMillis(now)) {
+                router.activity.recordPrefillEnd(upstream, chosen.prefillTokens)
+                router.index.recordCached(request.prompt.sharedParts, upstream)
+                router.loads.recordReported(upstream, load)
+            }
         }
         for (millis in 0..request.responseMillis step STREAM_EVENT_MILLIS) {
-            at(firstEventMillis + millis) { router.activity.recordData(engine.upstream.id) }
+            at(firstEventMillis + millis) {
+                after(lateNews.responseDelayMillis(now)) { router.activity.recordData(upstream) }
+            }
         }
         at(firstEventMillis + request.responseMillis) {
             engine.inFlight--
-            router.activity.recordEnd(engine.upstream.id)
-            router.activity.recordSuccess(engine.upstream.id)
+            after(lateNews.responseDelayMillis(now)) {
+                router.activity.recordEnd(upstream)
+                router.activity.recordSuccess(upstream)
+            }
         }
     }
 
+    private fun fail(router: Router, engine: ReplayEngine, chosen: PlacementResult.Chosen) {
+        router.activity.recordPrefillEnd(engine.upstream.id, chosen.prefillTokens)
+        router.activity.recordEnd(engine.upstream.id)
+        router.activity.recordErrorResponse(engine.upstream.id)
+    }
+
     /** Keeps the request in flight until the deadline of its caller, as there is no response. */
-    private fun hang(router: Router, engine: ReplayEngine) {
+    private fun hang(router: Router, engine: ReplayEngine, chosen: PlacementResult.Chosen) {
         result.hung++
-        router.activity.recordStart(engine.upstream.id, 0)
+        router.activity.recordPrefillEnd(engine.upstream.id, chosen.prefillTokens)
         at(now + DEADLINE_MILLIS) {
             router.activity.recordEnd(engine.upstream.id)
             router.activity.recordConnectionFailure(engine.upstream.id)
@@ -283,11 +325,22 @@
         result.requests++
         val mean = engines.values.sumOf { it.inFlight }.toDouble() / engines.size
         val over = engine.inFlight > 2 * mean + 3
-        if (over) result.overLoadBound++
+        if (over) {
+            result.overLoadBound++
+            result.overLoadBoundByAge.merge(ageOf(engine), 1, Int::plus)
+        }
+        result.requestsByAge.merge(ageOf(engine), 1, Int::plus)
         result.loadBoundChecks += now to over
         result.arrivals.getOrPut(engine.upstream.id) { mutableListOf() } += now
     }
 
+    private fun ageOf(engine: ReplayEngine): EngineAge =
+        when {
+            engine.upstream.ineligibleReason != null -> EngineAge.LEAVING
+            now - engine.startedAtMillis < JOINED_MILLIS && engine.startedAtMillis > 0 -> EngineAge.JOINED
+            else -> EngineAge.OLDER
+        }
+
     private fun prefill(engine: ReplayEngine, prompt: Prompt, source: ReplayEngine?): Int {
         var prefillTokens = prompt.promptTokens - prompt.sharedTokens
         var prefixCached = true
@@ -317,7 +370,9 @@
             routers.map { router -> planGossip(round, router.member, members, gossipRandom) to router.message() }
         if (routers.size <= SMALL_FLEET_GATEWAYS) routers.forEach(::sendCounts)
         for ((peers, message) in planned) {
-            peers.forEach { peer -> routers[members.indexOf(peer)].receive(message) }
+            peers.forEach { peer ->
+                after(lateNews.messageDelayMillis(now)) { routers[members.indexOf(peer)].receive(message) }
+            }
         }
     }
 
@@ -329,6 +384,9 @@
         /** Time for which a leaving engine stays in the directory. */
         const val DRAIN_MILLIS = 3_000L
 
+        /** Time for which an engine counts as just joined. */
+        const val JOINED_MILLIS = 5_000L
+
         /** Time between the events of a stream. */
         const val STREAM_EVENT_MILLIS = 200L
 
--- a/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.model.RouterId
@@ -17,6 +18,8 @@
 private val first = RouterId("first")
 private val second = RouterId("second")
 
+private const val EXCHANGE_MILLIS = 400L
+
 class UpstreamLoadsTest {
     private class Case(
         val name: String,
@@ -136,4 +139,25 @@
                 expectThat(loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(expected)
             }
         }
+
+    // Guards against a report that routers pass to each other again and again as a newer one, since its age does not include the
+    // time that a message waits to be read.
+    @Tag("known-red")
+    @TestFactory
+    fun `a report that returns from another router is not taken again`(): List<DynamicTest> =
+        listOf(0L, 300L, 1_000L).map { delayMillis ->
+            dynamicTest("messages wait for $delayMillis ms") {
+                var now = 0L
+                val loads = UpstreamLoads(UpstreamActivity { now }) { now }
+                val peer = UpstreamLoads(UpstreamActivity { now }) { now }
+                loads.recordReported(engine, load = 9)
+                for ((sender, recipient) in listOf(loads to peer, peer to loads)) {
+                    now += EXCHANGE_MILLIS
+                    val message = sender.recentObservations()
+                    now += delayMillis
+                    recipient.merge(message)
+                }
+                expectThat(loads.estimates(listOf(engine))[engine].ageMillis).isEqualTo(now)
+            }
+        }
 }
