Recognize a report that other routers have relayed, and bound deltas

Cause: the time that a message waits to be read is not in the ages of its reports, so that a router took its own report back as a newer one (UpstreamLoadsTest, 2 of 3 cases), weighted it as fresh and forgot the requests that it had sent since. Reports have an id now, in a field of the message that earlier releases ignore, and a copy is not taken again.

--- a/src/main/kotlin/org/primrosesill/discovery/ItemHistory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/ItemHistory.kt
@@ -9,13 +9,18 @@
 
 /** Owned by the control thread. */
 internal class ItemHistory {
-    private val valuesByKey = HashMap<String, ArrayDeque<PastValue>>()
+    private val valuesByKey =
+        object : LinkedHashMap<String, ArrayDeque<PastValue>>() {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, ArrayDeque<PastValue>>) =
+                size > MAXIMUM_ITEMS
+        }
 
     /** Digests of the values that this gateway can apply a delta to, the newest one of each item. */
     val digests: List<TextDigest> get() = valuesByKey.values.map { it.last().value.digest }
 
     /** Records the value of [item] if it is large, and returns the item. It shares the segments of the value before. */
     fun record(item: PlatformItem): PlatformItem {
+        if (item.isDeleted) valuesByKey.remove(item.key)
         if (!item.isLarge) return item
         val values = valuesByKey.getOrPut(item.key) { ArrayDeque() }
         val shared = values.lastOrNull()?.let { sharing(item, it.value) } ?: item
@@ -40,7 +45,8 @@
 
     private fun changeFrom(item: PlatformItem, isBase: (PastValue) -> Boolean): ItemChange {
         val base = valuesByKey[item.key]?.lastOrNull(isBase) ?: return ItemChange(item, null)
-        return ItemChange(item, item.segments?.let { deltaBetween(base.value, it) })
+        val target = item.segments ?: return ItemChange(item, null)
+        return ItemChange(item, deltaBetween(base.value, target).takeIf { it.characters < target.length })
     }
 
     private fun sharing(item: PlatformItem, previous: SegmentedText): PlatformItem? {
@@ -51,6 +57,9 @@
     private class PastValue(val revision: Long, val value: SegmentedText)
 
     private companion object {
+        /** The platform has one item with a large value, the configuration. */
+        const val MAXIMUM_ITEMS = 8
+
         /** Enough for a gateway that misses some changes in a row; the values share their segments. */
         const val VALUES_PER_ITEM = 8
     }
--- a/src/main/kotlin/org/primrosesill/discovery/SegmentedText.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/SegmentedText.kt
@@ -7,6 +7,12 @@
 
 import com.dynatrace.hash4j.hashing.Hashing
 
+/**
+ * Largest number of segments of a text, so that a few bytes of a damaged delta or a value of many tiny elements do not take
+ * much memory. The platform's largest values have about 10,000 entries.
+ */
+internal const val MAXIMUM_SEGMENTS: Int = 50_000
+
 /** 64-bit digest of a text and its division into segments. */
 @JvmInline
 public value class TextDigest(public val value: Long) {
@@ -25,13 +31,17 @@
     internal val digest: Long = Hashing.komihash5_0().hashCharsToLong(text)
 
     /** The element without the comma that follows it. */
-    public val element: String get() = text.trimEnd().removeSuffix(",")
+    public val element: String get() = text.trimEnd(*jsonWhiteSpace).removeSuffix(",")
 
     override fun equals(other: Any?): Boolean =
         this === other ||
             (other is TextSegment && digest == other.digest && array == other.array && text == other.text)
 
     override fun hashCode(): Int = digest.toInt()
+
+    private companion object {
+        val jsonWhiteSpace = charArrayOf(' ', '\t', '\r', '\n')
+    }
 }
 
 /** The concatenation of [segments]. Immutable and safe to use from any thread. */
@@ -40,6 +50,9 @@
         segments.joinToString("") { it.text }
     }
 
+    /** Number of characters. */
+    public val length: Int get() = segments.sumOf { it.text.length }
+
     public val digest: TextDigest by lazy(LazyThreadSafetyMode.PUBLICATION) {
         val stream = Hashing.komihash5_0().hashStream()
         segments.forEach { stream.putLong(it.digest).putString(it.array.orEmpty()) }
@@ -58,7 +71,7 @@
 public fun segmentedText(text: String): SegmentedText =
     SegmentedText(JsonSegmenter(text).divide() ?: listOf(TextSegment(text)))
 
-/** Divides one text. A text that is not a JSON object with plain and distinct member names is not divided. */
+/** Divides one text, up to [MAXIMUM_SEGMENTS]. A text that is not a JSON object with plain and distinct member names is not divided. */
 private class JsonSegmenter(private val text: String) {
     private val segments = ArrayList<TextSegment>()
     private val arrays = HashSet<String>()
@@ -76,7 +89,7 @@
         var position = 0
         while (position < text.length) {
             position = if (text[position] == '"') endOfString(position) else position
-            if (position < 0 || !accept(position)) return null
+            if (position < 0 || !accept(position) || segments.size >= MAXIMUM_SEGMENTS) return null
             position++
         }
         if (depth != 0) return null
--- a/src/main/kotlin/org/primrosesill/discovery/TextDelta.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/TextDelta.kt
@@ -30,7 +30,7 @@
 
     /**
      * Returns the text that follows from [text], or null if [text] is not the base or the result has another digest than
-     * it should. The result shares the segments of [text].
+     * it should, or too many segments. The result shares the segments of [text].
      */
     public fun applyTo(text: SegmentedText): SegmentedText? {
         if (text.digest != base) return null
@@ -40,6 +40,7 @@
                 is DeltaPart.Copied -> segments += copiedFrom(text.segments, part) ?: return null
                 is DeltaPart.Inserted -> segments += part.segment
             }
+            if (segments.size > MAXIMUM_SEGMENTS) return null
         }
         return SegmentedText(segments).takeIf { it.digest == result }
     }
@@ -50,6 +51,7 @@
     }
 
     private companion object {
+        /** Numbers of characters of an encoded part, without its text. */
         const val COPIED_PART_CHARACTERS = 30
         const val INSERTED_PART_CHARACTERS = 40
     }
--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -183,7 +183,9 @@
             if (received.version < active.version) {
                 pendingChanges += DirectoryChange.StaleConfigurationRejected(received.version, active.version)
                 // Peers receive the active configuration, also one that starts after the platform has lost it.
-                configurationValue?.let { itemsByKey[item.key] = PlatformItem(item.key, item.revision, it) }
+                configurationValue?.let {
+                    itemsByKey[item.key] = history.record(PlatformItem(item.key, item.revision, it))
+                }
             }
             return
         }
--- a/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
+++ b/src/main/kotlin/org/primrosesill/exchange/GossipPlan.kt
@@ -51,7 +51,7 @@
     random: Random,
 ): List<Member> {
     val others = live.filter { it.router != self.router }
-    if (live.size > SMALL_FLEET_GATEWAYS && carriesChanges) return planUrgentChanges(self, live, source)
+    if (live.size > SMALL_FLEET_GATEWAYS && carriesChanges) return planSmallChanges(self, live, source)
     return others
         .groupBy { it.availabilityZone }
         .flatMap { (zone, members) ->
@@ -65,7 +65,7 @@
  * Returns the gateways to which [self] sends small changes from [source] that do not wait for a large one before them: its
  * zone, or the whole of a small fleet. The receivers do not relay them, as each zone has a reader of its own.
  */
-public fun planUrgentChanges(self: Member, live: List<Member>, source: UpdateSource): List<Member> {
+public fun planSmallChanges(self: Member, live: List<Member>, source: UpdateSource): List<Member> {
     val others = live.filter { it.router != self.router }
     return when {
         source == UpdateSource.OWN_ZONE -> emptyList()
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -81,22 +81,26 @@
             delay(BATCHING_DELAY)
             val since = announcedRevision
             announcedRevision = directory.revision
-            val source = pendingSource ?: source
+            val lastSource = pendingSource ?: source
             pendingSource = null
-            announce(source, since, relay.announcedChanges(since))
+            sendAnnouncements(lastSource, since)
         }
     }
 
-    private fun announce(source: UpdateSource, since: PlatformRevision, changes: AnnouncedChanges) {
-        val announcement = fleet.announcement(directory, source, changes.isComplete)
-        if (changes.isComplete) {
-            send(announcement.addresses, announcement.message.withChanges(changes.items, since))
+    /** Announces the changes after [since], which came from [source]. */
+    private fun sendAnnouncements(source: UpdateSource, since: PlatformRevision) {
+        val changes = relay.announcedChanges(since)
+        val announcement = fleet.announcement(directory, source, changes.areComplete)
+        if (changes.areComplete) {
+            send(announcement.addresses, announcement.message.withChanges(changes.datagrams.single(), since))
             return
         }
-        if (changes.items.items.isNotEmpty() && since > PlatformRevision.NONE) {
-            // The receivers apply these changes without the large ones before them, and keep their revision.
-            val urgent = fleet.urgentChangesMessage(source, since)
-            send(urgent.addresses, urgent.message.withChanges(changes.items, since = directory.revision))
+        // The receivers apply the small changes without the large ones before them, and keep their revision.
+        if (since > PlatformRevision.NONE) {
+            val small = fleet.smallChangesMessage(source, since)
+            changes.datagrams.forEach {
+                send(small.addresses, small.message.withChanges(it, since = directory.revision))
+            }
         }
         send(announcement.addresses, announcement.message)
     }
@@ -179,16 +183,22 @@
         applyItems(sender, PlatformRevision(message.changesSince, message.changesSinceEra), changes)
     }
 
+    /**
+     * Applies the items that changed after [since]. Returns false if some of them are deltas to values that this gateway does
+     * not have; the others are applied, and the revision of this gateway does not advance.
+     */
     private fun applyItems(peer: Member, since: PlatformRevision, relayed: RelayedItems): Boolean {
         val before = directory.revision
-        val items = relay.itemsOf(relayed) ?: return false
+        val decoded = relay.decode(relayed)
         // A peer whose calls the platform rejects may report no response; the platform may be reachable all the same.
         if (relayed.reachableMillis >= 0 && relayed.answeredAgoMillis >= 0) {
             directory.recordPeerReachability(relayed.reachableMillis, relayed.answeredAgoMillis)
         }
-        directory.applyPeerChanges(since, PlatformChanges(relayed.platformRevision, items), "gateway ${peer.address}")
+        val appliedSince = if (decoded.areComplete) since else relayed.platformRevision
+        val changes = PlatformChanges(relayed.platformRevision, decoded.items)
+        directory.applyPeerChanges(appliedSince, changes, "gateway ${peer.address}")
         if (directory.revision > before) announce(fleet.sourceOf(peer))
-        return true
+        return decoded.areComplete
     }
 
     private companion object {
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -15,7 +15,7 @@
 import org.primrosesill.exchange.planAnnouncement
 import org.primrosesill.exchange.planGossip
 import org.primrosesill.exchange.planProbes
-import org.primrosesill.exchange.planUrgentChanges
+import org.primrosesill.exchange.planSmallChanges
 import org.primrosesill.exchange.planUrgentReport
 import org.primrosesill.exchange.readHeartbeatDigest
 import org.primrosesill.exchange.shortCode
@@ -87,8 +87,8 @@
      * Returns the message for small changes that came from [source] and do not wait for a large one before them. It states
      * only the revision that was [announced] before, so that its receivers do not all fetch the large change from this gateway.
      */
-    fun urgentChangesMessage(source: UpdateSource, announced: PlatformRevision): AddressedMessage {
-        val receivers = planUrgentChanges(members.self(), members.live(), source)
+    fun smallChangesMessage(source: UpdateSource, announced: PlatformRevision): AddressedMessage {
+        val receivers = planSmallChanges(members.self(), members.live(), source)
         val part = partOf(members.self(), announced)
         return AddressedMessage(receivers.map { it.address }, ExchangeMessage(round, listOf(part)))
     }
--- a/src/main/kotlin/org/primrosesill/gateway/ItemRelay.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ItemRelay.kt
@@ -17,8 +17,15 @@
 import org.primrosesill.generated.RelayedItem
 import org.primrosesill.generated.RelayedItems
 
-/** The changes that an announcement carries; they are not complete if some of them exceed a datagram. */
-internal class AnnouncedChanges(val items: RelayedItems, val isComplete: Boolean)
+/**
+ * The changes that announcements carry, one entry for each datagram.
+ *
+ * @property areComplete whether one datagram has all changes
+ */
+internal class AnnouncedChanges(val datagrams: List<RelayedItems>, val areComplete: Boolean)
+
+/** The items of a message, without those whose deltas lead on from values that this gateway does not have. */
+internal class DecodedItems(val items: List<PlatformItem>, val areComplete: Boolean)
 
 /** Confined to the control thread. */
 internal class ItemRelay(private val directory: DirectoryManager) {
@@ -30,30 +37,42 @@
         relayed(directory.changesAfter(since, known))
 
     /**
-     * Returns the changes after [since] that fit into a datagram, the small ones first: a change of an upstream's entry does
-     * not wait for a large configuration.
+     * Returns the changes after [since] that fit into datagrams: a change of an upstream's entry does not wait for a large
+     * configuration.
      */
     fun announcedChanges(since: PlatformRevision): AnnouncedChanges {
         val changes = directory.changesSince(since)
-        var characters = 0
-        val fitting =
-            changes.sortedBy(::charactersOf).takeWhile {
-                characters += charactersOf(it)
-                characters <= MAXIMUM_CHANGES_CHARACTERS
-            }
-        return AnnouncedChanges(relayed(fitting), isComplete = fitting.size == changes.size)
+        if (changes.sumOf(::charactersOf) <= MAXIMUM_CHANGES_CHARACTERS) {
+            return AnnouncedChanges(listOf(relayed(changes)), areComplete = true)
+        }
+        val small = changes.filter { charactersOf(it) <= MAXIMUM_CHANGES_CHARACTERS }
+        return AnnouncedChanges(datagramsOf(small).take(MAXIMUM_DATAGRAMS).map(::relayed), areComplete = false)
     }
 
-    /** Returns the items in [relayed], or null if it has a delta to a value that this gateway does not have. */
-    fun itemsOf(relayed: RelayedItems): List<PlatformItem>? =
-        relayed.items.map { item ->
-            val delta = item.delta
-            if (delta == null) {
-                PlatformItem(item.key, item.revision, item.value)
-            } else {
-                decode(delta)?.let { directory.itemAfter(item.key, item.revision, it) } ?: return null
+    private fun datagramsOf(changes: List<ItemChange>): List<List<ItemChange>> {
+        val datagrams = ArrayList<MutableList<ItemChange>>()
+        var characters = MAXIMUM_CHANGES_CHARACTERS
+        for (change in changes) {
+            characters += charactersOf(change)
+            if (characters > MAXIMUM_CHANGES_CHARACTERS) {
+                datagrams += ArrayList<ItemChange>()
+                characters = charactersOf(change)
             }
+            datagrams.last() += change
         }
+        return datagrams
+    }
+
+    /** Returns the items in [relayed]. */
+    fun decode(relayed: RelayedItems): DecodedItems {
+        val items = relayed.items.mapNotNull(::decode)
+        return DecodedItems(items, areComplete = items.size == relayed.items.size)
+    }
+
+    private fun decode(item: RelayedItem): PlatformItem? {
+        val delta = item.delta ?: return PlatformItem(item.key, item.revision, item.value)
+        return decode(delta)?.let { directory.itemAfter(item.key, item.revision, it) }
+    }
 
     private fun charactersOf(change: ItemChange): Int {
         val valueCharacters = change.delta?.characters ?: change.item.value?.length ?: 0
@@ -97,6 +116,9 @@
     private companion object {
         /** Maximum size of the changes in an announcement: the characters of all keys and values. */
         const val MAXIMUM_CHANGES_CHARACTERS = 4_000
+
+        /** Entries of about 100 upstreams. What more has changed at once is fetched. */
+        const val MAXIMUM_DATAGRAMS = 8
     }
 }
 
--- a/src/main/kotlin/org/primrosesill/gateway/PeerHandler.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PeerHandler.kt
@@ -80,7 +80,7 @@
         /** Compression gains nothing for a body that fits into one packet. */
         const val MINIMUM_COMPRESSED_BYTES = 1_400
 
-        /** More than the platform has items with large values. */
+        /** More than a gateway keeps earlier values of. */
         const val MAXIMUM_KNOWN_VALUES = 16
     }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
@@ -23,6 +23,7 @@
 import org.primrosesill.placement.PartsByEngine
 import org.primrosesill.placement.PromptCacheIndex
 import org.primrosesill.placement.PromptPartId
+import org.primrosesill.placement.ReportId
 import org.primrosesill.placement.SilenceChanges
 import org.primrosesill.placement.SilenceReport
 import org.primrosesill.placement.SilentUpstreams
@@ -51,9 +52,11 @@
      */
     fun addTo(message: ExchangeMessage): ExchangeMessage {
         val parts = index.recentUpdates()
+        val observations = loads.recentObservations()
         return message.with(crashingParts.evidence()).copy(
             silentUpstreams = silentUpstreams.reports().joinToString("", transform = ::encode),
-            observedLoads = loads.recentObservations().joinToString("", transform = ::encode),
+            observedLoads = observations.joinToString("", transform = ::encode),
+            observedReports = observations.joinToString("") { shortNumber(it.reportNumber, REPORT_LENGTH) },
             heldParts = if (parts.isEmpty()) null else heldPartsOf(parts),
         )
     }
@@ -103,7 +106,7 @@
 
     /** Applies the loads, silence reports and held parts in [message]. */
     fun applyMessage(message: ExchangeMessage) {
-        loads.merge(message.observedLoads.chunked(LOAD_ENTRY_LENGTH).mapNotNull(::decodeLoad))
+        loads.merge(observationsIn(message))
         silentUpstreams.addReports(message.silentUpstreams.chunked(SILENCE_ENTRY_LENGTH).mapNotNull(::decodeSilence))
         message.heldParts?.let { index.merge(partsOf(it)) }
     }
@@ -174,6 +177,19 @@
         return SilenceReport(upstream, entry.substring(SHORT_CODE_LENGTH, 2 * SHORT_CODE_LENGTH), age * AGE_UNIT_MILLIS)
     }
 
+    /** Returns the loads in [message], with the ids of their reports unless the sender is of a release that knows none. */
+    private fun observationsIn(message: ExchangeMessage): List<LoadObservation> {
+        val reports = message.observedReports.chunked(REPORT_LENGTH)
+        return message.observedLoads.chunked(LOAD_ENTRY_LENGTH).mapIndexedNotNull { index, entry ->
+            decodeLoad(entry)?.copy(report = reports.getOrNull(index)?.let(::decodeReport))
+        }
+    }
+
+    private val LoadObservation.reportNumber: Long get() = (report?.number ?: NO_REPORT).toLong()
+
+    private fun decodeReport(entry: String): ReportId? =
+        parseShortNumber(entry)?.toInt()?.takeIf { it != NO_REPORT }?.let(::ReportId)
+
     private fun decodeLoad(entry: String): LoadObservation? {
         if (entry.length != LOAD_ENTRY_LENGTH) return null
         val upstream = upstreamsByCode[entry.take(SHORT_CODE_LENGTH)] ?: return null
@@ -186,6 +202,7 @@
         /** Lengths in characters. */
         const val LOAD_LENGTH = 2
         const val AGE_LENGTH = 1
+        const val REPORT_LENGTH = 2
         const val COUNT_ENTRY_LENGTH = SHORT_CODE_LENGTH + LOAD_LENGTH
         const val LOAD_ENTRY_LENGTH = COUNT_ENTRY_LENGTH + AGE_LENGTH
         const val SILENCE_ENTRY_LENGTH = 2 * SHORT_CODE_LENGTH + AGE_LENGTH
@@ -195,6 +212,9 @@
         const val CRASH_ENTRY_LENGTH = ENGINE_INDEX + SHORT_CODE_LENGTH + LONG_AGE_LENGTH
         const val COMPLETION_ENTRY_LENGTH = PART_CODE_LENGTH + LONG_AGE_LENGTH
 
+        /** The number of a load whose report has no id. */
+        const val NO_REPORT = 0
+
         /** Largest numbers that the lengths can encode; the age is in units of [AGE_UNIT_MILLIS]. */
         const val MAXIMUM_LOAD = 4_095
         const val MAXIMUM_AGE = 63L
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
@@ -9,13 +9,34 @@
  */
 package org.primrosesill.placement
 
+import com.dynatrace.hash4j.hashing.Hashing
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
 import kotlin.math.exp
 import kotlin.math.roundToInt
 
-/** The load that an upstream reported, and how long ago. */
-public data class LoadObservation(public val upstream: UpstreamId, public val load: Int, public val ageMillis: Long)
+/**
+ * Identifies the response in which an upstream reported a load, so that a router recognizes a copy of the report that other
+ * routers have relayed. One in [REPORT_IDS] pairs of reports has the same id.
+ */
+@JvmInline
+public value class ReportId(public val number: Int)
+
+/** Number of different report ids: two characters in a message, of which zero stands for no id. */
+public const val REPORT_IDS: Int = 4_095
+
+/**
+ * The load that an upstream reported, and how long ago.
+ *
+ * @property ageMillis at least; the time that a message waits to be read is not included
+ * @property report null if a router of an earlier release has relayed the report
+ */
+public data class LoadObservation(
+    public val upstream: UpstreamId,
+    public val load: Int,
+    public val ageMillis: Long,
+    public val report: ReportId? = null,
+)
 
 /** Where the estimate of an upstream's load comes from. */
 public enum class LoadSource(public val text: String) {
@@ -88,6 +109,7 @@
     private val reportedLoads = HashMap<UpstreamId, TimedLoad>()
     private val countsByRouter = HashMap<RouterId, RouterCounts>()
     private var expectedRouters: Set<RouterId>? = null
+    private var reportCount = 0L
 
     /** Returns the estimated loads of [pool]. */
     @Synchronized
@@ -157,12 +179,22 @@
     }
 
     /** Records the [load] that [upstream] reported in a response to this router. */
-    public fun recordReported(upstream: UpstreamId, load: Int): Unit = put(upstream, load, nowMillis())
+    public fun recordReported(upstream: UpstreamId, load: Int) {
+        val now = nowMillis()
+        put(LoadObservation(upstream, load, ageMillis = 0, newReportId(load, now)), now)
+    }
+
+    @Synchronized
+    private fun newReportId(load: Int, nowMillis: Long): ReportId {
+        val hash = Hashing.komihash5_0().hashStream()
+        hash.putLong(nowMillis).putInt(load).putLong(reportCount++)
+        return ReportId(1 + Math.floorMod(hash.asLong, REPORT_IDS))
+    }
 
     /** Adds observations forwarded by a peer. */
     public fun merge(observations: List<LoadObservation>) {
         val now = nowMillis()
-        observations.forEach { put(it.upstream, it.load, now - it.ageMillis) }
+        observations.forEach { put(it, now - it.ageMillis) }
     }
 
     /** Returns the observations of the last [FORWARDING_MILLIS], to be forwarded to peers. */
@@ -171,7 +203,7 @@
         val now = nowMillis()
         return reportedLoads
             .filterValues { now - it.atMillis < FORWARDING_MILLIS }
-            .map { (upstream, value) -> LoadObservation(upstream, value.load, now - value.atMillis) }
+            .map { (upstream, value) -> LoadObservation(upstream, value.load, now - value.atMillis, value.report) }
     }
 
     /**
@@ -211,11 +243,15 @@
         reportedLoads[upstream]?.takeIf { nowMillis() - it.atMillis < LOAD_EXPIRY_MILLIS }
 
     @Synchronized
-    private fun put(upstream: UpstreamId, load: Int, atMillis: Long) {
+    private fun put(observation: LoadObservation, atMillis: Long) {
+        val upstream = observation.upstream
         val previous = reportedLoads[upstream]
         if (previous != null && previous.atMillis >= atMillis) return
-        val average = averageLoad(previous, load, atMillis)
-        reportedLoads[upstream] = TimedLoad(load, atMillis, activity.inFlight(upstream), average)
+        // A copy only looks newer, as the time that messages wait to be read is not in its age.
+        if (previous?.report != null && previous.report == observation.report) return
+        val average = averageLoad(previous, observation.load, atMillis)
+        val own = activity.inFlight(upstream)
+        reportedLoads[upstream] = TimedLoad(observation.load, atMillis, own, average, observation.report)
     }
 
     /** Returns the exponentially weighted average of the loads up to a report of [load] that follows [previous]. */
@@ -229,7 +265,13 @@
      * @property ownInFlight requests of this router in flight when it received the report
      * @property average the average of the reports up to this one
      */
-    private class TimedLoad(val load: Int, val atMillis: Long, val ownInFlight: Int, val average: Double) {
+    private class TimedLoad(
+        val load: Int,
+        val atMillis: Long,
+        val ownInFlight: Int,
+        val average: Double,
+        val report: ReportId?,
+    ) {
         /** The average without the request in whose response each load was reported, which is part of that load. */
         val averageOfOthers get() = (average - 1).coerceAtLeast(0.0)
     }
