--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -1,14 +1,18 @@
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A small deployment on loopback: a store, servers that write their heartbeats to it, and gateways in three zones. */
@@ -49,9 +53,18 @@
         };
     }
 
-    static String freeAddress(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return host + ":" + socket.getLocalPort();
+    private static final Set<Integer> usedPorts = new HashSet<>();
+
+    /** Returns an address with a port that is free, was not returned before, and is outside the range of outgoing connections. */
+    static synchronized String freeAddress(String host) throws IOException {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(10_000, 32_000);
+            if (!usedPorts.add(port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                return host + ":" + socket.getLocalPort();
+            } catch (BindException inUse) {
+                // Another port is tried.
+            }
         }
     }
 
@@ -85,12 +98,16 @@
             gateways.add(new Gateway("gateway-" + number, zone, peers.get(number), gossipPort, seeds, store.address, folder));
         }
         for (Gateway gateway : gateways) gateway.start();
+        awaitReady();
+        Thread.sleep(4_000);
+    }
+
+    void awaitReady() throws IOException, InterruptedException {
         long until = System.currentTimeMillis() + 30_000;
         while (!gateways.stream().allMatch(Gateway::isReady)) {
             if (System.currentTimeMillis() > until) throw new IOException("the gateways are not ready after 30 s");
-            Thread.sleep(100);
+            Thread.sleep(50);
         }
-        Thread.sleep(4_000);
     }
 
     static String route(String name, String kind, String service, int timeoutMillis, int attempts, boolean resumable) {
