Take a response without a length for whole only after an orderly close

Cause: the end of a connection counted as orderly when no failure had been noticed. Netty closes a channel on a failed write without exceptionCaught, and its decoder then ends the response. What was received and not read yet was lost with the channel, also after an orderly close.

Ruled out: that the read side alone can decide. The kernel reports a reset once; after a write has received it, reads return the end of the stream.

InputEnd needs a positive fact: the read side reached the end, and neither a read nor a write received a reset (EPIPE is the mark of an orderly close). A failed write no longer closes the channel.

The events, the decoder and the encoding of requests move to files of their own; a request that cannot be encoded fails at once.

--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -74,6 +74,9 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.ALLOCATOR, loop.allocator)
             .option(ChannelOption.TCP_NODELAY, true)
+            // A failed write must not end the reads: what the upstream sent before decides whether its response is whole.
+            .option(ChannelOption.AUTO_CLOSE, false)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeout.inWholeMilliseconds.toInt())
             .handler(
                 object : ChannelInitializer<Channel>() {
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -10,54 +10,21 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.request.BufferBudget
 import org.primrosesill.request.HeadMatch
+import java.io.IOException
 import kotlinx.coroutines.channels.Channel as EventChannel
 
-/** An event in the reception of a response. */
-internal sealed interface ResponseEvent {
-    /** [framed] is false if only the close of the connection will mark the end of the body. */
-    class Head(val response: HttpResponse, val framed: Boolean) : ResponseEvent
-
-    class Body(val bytes: ByteArray) : ResponseEvent
-
-    /** The response ended. [framed] is false if only the close of the connection marked the end. */
-    class End(val framed: Boolean) : ResponseEvent
-
-    /** The connection failed before the response ended. */
-    class Failed(val reason: String) : ResponseEvent
-}
-
-/** Decodes responses. The response to a HEAD request has no body. */
-private class ResponseDecoder : HttpResponseDecoder(decoderConfig(MAXIMUM_RESPONSE_HEADER_BYTES)) {
-    var isHeadRequest = false
-
-    /** Whether received bytes do not form a complete message yet. */
-    val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
-
-    override fun isContentAlwaysEmpty(message: io.netty.handler.codec.http.HttpMessage): Boolean =
-        isHeadRequest || super.isContentAlwaysEmpty(message)
-}
-
-/** Reports the number of received bytes before they are decoded. */
-private class ByteCounter(private val onBytes: (Int) -> Unit) : ChannelInboundHandlerAdapter() {
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (message is ByteBuf) onBytes(message.readableBytes())
-        context.fireChannelRead(message)
-    }
-}
-
 /** Confined to the traffic thread. */
 internal class UpstreamConnection(
     val channel: Channel,
@@ -72,7 +39,7 @@
     private var inExchange = false
     private var response: HttpResponse? = null
     private var framed = true
-    private var failure: String? = null
+    private val inputEnd = InputEnd()
     private var lastWrite: ChannelFuture? = null
     private var matchHead: (HeaderFields) -> HeadMatch = { HeadMatch.THIS_CALL }
 
@@ -91,14 +58,22 @@
         private set
 
     init {
-        channel.pipeline().addLast(HttpRequestEncoder(), ByteCounter(::countBytes), decoder, this)
+        channel.pipeline().addLast(
+            HttpRequestEncoder(),
+            InputEndRecorder(inputEnd),
+            ByteCounter(::countBytes),
+            decoder,
+            this,
+        )
     }
 
     val isOpen: Boolean get() = channel.isActive && !unusable
 
     /** Whether another request can be sent: nothing remains of the previous exchange. */
     val isReusable: Boolean
-        get() = isOpen && !inExchange && !decoder.hasUndecodedBytes && failure == null && lastWrite?.isSuccess == true
+        get() =
+            isOpen && !inExchange && !decoder.hasUndecodedBytes && inputEnd.failure == null &&
+                lastWrite?.isSuccess == true
 
     /** Sends [request]. Responses that belong to other calls by [matchHead] are discarded. */
     fun send(request: DefaultFullHttpRequest, matchHead: (HeaderFields) -> HeadMatch) {
@@ -108,7 +83,16 @@
         this.matchHead = matchHead
         requestCount++
         decoder.isHeadRequest = request.method() == HttpMethod.HEAD
-        lastWrite = channel.writeAndFlush(request)
+        lastWrite =
+            channel.writeAndFlush(request).addListener { write ->
+                if (!write.isSuccess) onWriteFailed(write.cause())
+            }
+    }
+
+    /** A request that could not be written may have a response all the same, unless it could not be encoded. */
+    private fun onWriteFailed(cause: Throwable) {
+        inputEnd.recordWriteFailure(cause)
+        if (cause !is IOException && inExchange) fail("$cause")
     }
 
     /** Suspends until there is an event and returns it. */
@@ -231,8 +215,7 @@
     private fun endResponse() {
         response = null
         // Netty's decoder also ends a response without a length when the connection was reset.
-        val reason = failure
-        if (reason != null && !framed) return fail(reason)
+        if (!framed && !inputEnd.isOrderly) return fail(inputEnd.failure ?: UNEXPECTED_CLOSE)
         if (mismatched) return if (framed) Unit else fail("received the response to another request")
         inExchange = false
         stopBatching()
@@ -253,12 +236,22 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        if (inExchange) fail(failure ?: "connection closed before the end of the response")
+        if (inExchange) fail(inputEnd.failure ?: UNEXPECTED_CLOSE)
+    }
+
+    /** Closes the connection when the upstream has closed its side. The decoder has processed all input before. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event !is ChannelInputShutdownEvent) {
+            context.fireUserEventTriggered(event)
+            return
+        }
+        unusable = true
+        if (inExchange) fail(inputEnd.failure ?: UNEXPECTED_CLOSE)
+        channel.close()
     }
 
     @Deprecated("deprecated in Netty")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        failure = cause.toString()
         if (inExchange && (framed || response == null)) fail(cause.toString())
         context.close()
     }
@@ -275,24 +268,6 @@
         /** Large enough for a late duplicate of a long response. */
         const val MAXIMUM_BYTES_BEFORE_RESPONSE = 1024 * 1024
         val BODILESS_STATUSES = setOf(204, 304)
+        const val UNEXPECTED_CLOSE = "connection closed before the end of the response"
     }
 }
-
-/** Returns the request with [body] as its content. The caller sets the header fields, framing included. */
-internal fun requestMessage(
-    method: String,
-    target: String,
-    body: ByteArray?,
-    allocator: io.netty.buffer.ByteBufAllocator,
-): DefaultFullHttpRequest {
-    val content =
-        if (body == null ||
-            body.isEmpty()
-        ) {
-            allocator.buffer(0)
-        } else {
-            io.netty.buffer.Unpooled
-                .wrappedBuffer(body)
-        }
-    return DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target, content)
-}
--- a/src/test/kotlin/org/primrosesill/transport/RawUpstream.kt
+++ b/src/test/kotlin/org/primrosesill/transport/RawUpstream.kt
@@ -14,6 +14,10 @@
 class RawConnection(private val socket: Socket) {
     private val input = socket.getInputStream()
 
+    private companion object {
+        const val CLOSE_TO_RESET_MILLIS = 30L
+    }
+
     /** Reads up to [count] bytes and returns them. */
     fun read(count: Int): String = input.readNBytes(count).decodeToString()
 
@@ -35,6 +39,20 @@
 
     fun close() = socket.close()
 
+    /** Closes the connection in order, after the peer has closed its side or has been silent for a while. */
+    fun closeAfterReading() {
+        socket.shutdownOutput()
+        awaitClosed(timeoutMillis = 100)
+        socket.close()
+    }
+
+    /** Closes the output in order, and then the connection with a TCP reset. */
+    fun closeThenReset() {
+        socket.shutdownOutput()
+        Thread.sleep(CLOSE_TO_RESET_MILLIS)
+        reset()
+    }
+
     /** Closes the connection with a TCP reset. */
     fun reset() {
         socket.setSoLinger(true, 0)
