Serve the complete content where not all changes are recorded

Cause: a listing has no deletions, but a gateway that had listed answered "what changed since revision r" for every r, and the one that asked took the answer for complete.

RecordedSpan holds the revision since which every change is recorded. Changes since an earlier one are answered with the complete content (recordedSince in the message), which is applied like a listing. A value that is not newer than the own revision is dropped.

RestoredPlatformTest expected no items after a revision before the listing of a new era. That was the fault; it now expects none after the revision of the listing and the complete content before it.

Upstreams and their grace time move from UpstreamDirectory to UpstreamEntries.

--- a/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
@@ -48,8 +48,17 @@
 /** All items, as of [revision] or later. */
 public class PlatformListing(public val revision: PlatformRevision, public val items: List<PlatformItem>)
 
-/** The changes after the requested revision, up to [revision]. */
-public class PlatformChanges(public val revision: PlatformRevision, public val items: List<PlatformItem>)
+/**
+ * The changes after the requested revision, up to [revision].
+ *
+ * @property recordedSince null, unless [items] is the complete content of a peer that has not recorded all changes after the
+ *     requested revision: then the revision since which it has
+ */
+public class PlatformChanges(
+    public val revision: PlatformRevision,
+    public val items: List<PlatformItem>,
+    public val recordedSince: PlatformRevision? = null,
+)
 
 /** Why a call to a [PlatformFeed] failed. */
 public sealed class FeedError(public val detail: String) {
--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -10,7 +10,6 @@
 package org.primrosesill.discovery
 
 import org.primrosesill.model.AvailabilityZoneId
-import org.primrosesill.model.UpstreamId
 import org.primrosesill.route.ServingConfiguration
 
 /**
@@ -34,9 +33,7 @@
     private val settings: DirectorySettings = DirectorySettings(),
 ) {
     private val itemsByKey = HashMap<String, PlatformItem>()
-    private val upstreams = HashMap<UpstreamId, Entry>()
     private val evacuatedZones = HashSet<AvailabilityZoneId>()
-    private val restoredItems = RestoredItems(decoder, settings.restorationHoldMillis, ::registrationOf)
     private val pendingChanges = ArrayList<DirectoryChange>()
     private val history = ItemHistory()
     private var decodedConfiguration: DecodedItem.Configuration? = null
@@ -46,23 +43,38 @@
     /** Responses of the platform to this gateway and to others. */
     public val reachability: PlatformReachability = PlatformReachability()
 
+    private val entries = UpstreamEntries(reachability, settings.recoveryGraceMillis) { pendingChanges += it }
+    private val restoredItems = RestoredItems(decoder, settings.restorationHoldMillis, entries::registrationOf)
+    private var recorded = RecordedSpan.NONE
+
     /** The revision of the platform up to which no change is missing. */
-    public var revision: PlatformRevision = PlatformRevision.NONE
-        private set
+    public val revision: PlatformRevision get() = recorded.upTo
+
+    /**
+     * Returns null if all changes after [since] are recorded. Otherwise a peer with this revision needs the complete content,
+     * and the result is the revision since which all changes are recorded.
+     */
+    public fun recordedSinceLaterThan(since: PlatformRevision): PlatformRevision? =
+        recorded.since.takeUnless { recorded.coversChangesAfter(since) }
 
     /** Applies the complete content of the platform. Items that [listing] lacks are deleted, unless they are newer. */
     public fun applyListing(listing: PlatformListing, nowMillis: Long): List<DirectoryChange> {
         if (rejectOlderEra(listing.revision)) return drainChanges()
         if (listing.revision.era > revision.era) return startEra(listing, nowMillis)
-        listing.items.forEach { apply(it, nowMillis) }
-        val listed = listing.items.mapTo(HashSet()) { it.key }
-        val missing =
-            itemsByKey.values.filter { !it.isDeleted && it.key !in listed && it.revision <= listing.revision.number }
-        missing.forEach { apply(PlatformItem(it.key, listing.revision.number, null), nowMillis) }
-        revision = maxOf(revision, listing.revision)
+        applyContent(listing, nowMillis)
+        recorded = recorded.afterListing(listing.revision)
         return drainChanges()
     }
 
+    private fun applyContent(content: PlatformListing, nowMillis: Long) {
+        content.items.forEach { apply(it, nowMillis) }
+        // A peer's record of a deletion may be older than an item of this directory that was deleted once more.
+        val listed = content.items.filterNot { it.isDeleted }.mapTo(HashSet()) { it.key }
+        val missing =
+            itemsByKey.values.filter { !it.isDeleted && it.key !in listed && it.revision <= content.revision.number }
+        missing.forEach { apply(PlatformItem(it.key, content.revision.number, null), nowMillis) }
+    }
+
     private fun rejectOlderEra(received: PlatformRevision): Boolean {
         if (received.era >= revision.era) return false
         pendingChanges += DirectoryChange.OlderEraRejected(received)
@@ -74,22 +86,22 @@
         val before = revision
         val previousItems = itemsByKey.values.toList()
         itemsByKey.clear()
-        revision = listing.revision
+        recorded = RecordedSpan.NONE
         if (previousItems.isNotEmpty()) reachability.recordRestoration(nowMillis)
         val replacement = restoredItems.replace(previousItems, listing, nowMillis)
         replacement.held.forEach { itemsByKey[it.key] = it }
         replacement.applied.forEach { apply(it, nowMillis) }
+        recorded = RecordedSpan(listing.revision, listing.revision)
         if (previousItems.isNotEmpty()) {
             pendingChanges += DirectoryChange.PlatformRestored(before, replacement.held.size)
         }
         return drainChanges()
     }
 
-    private fun registrationOf(upstream: UpstreamId): UpstreamRegistration? = upstreams[upstream]?.registration
-
     /**
      * Applies the changes after [since]. Changes that leave a gap are applied too, but do not advance [revision]. Changes that
-     * begin in an older era than they end in are the complete content of the new era.
+     * begin in an older era than they end in are the complete content of the new era; those that begin before a peer recorded
+     * all changes are the complete content of that peer.
      */
     public fun applyChanges(since: PlatformRevision, page: PlatformChanges, nowMillis: Long): List<DirectoryChange> {
         if (rejectOlderEra(page.revision)) return drainChanges()
@@ -98,35 +110,42 @@
             if (since.era == page.revision.era) return drainChanges()
             return startEra(PlatformListing(page.revision, page.items.filterNot { it.isDeleted }), nowMillis)
         }
-        page.items.forEach { apply(it, nowMillis) }
-        removeExpired(nowMillis)
-        if (since <= revision) revision = maxOf(revision, page.revision)
+        applyRelayed(since, page, nowMillis)
+        entries.removeExpired(nowMillis)
         return drainChanges()
     }
 
+    private fun applyRelayed(since: PlatformRevision, page: PlatformChanges, nowMillis: Long) {
+        val recordedSince = page.recordedSince
+        if (recordedSince != null) {
+            applyContent(PlatformListing(page.revision, page.items), nowMillis)
+            recorded = recorded.mergedWith(RecordedSpan(recordedSince, page.revision))
+            return
+        }
+        page.items.forEach { apply(it, nowMillis) }
+        if (since > revision) return
+        // A peer of an earlier version may not have recorded all deletions before the revision of its first page.
+        val isFirstPage = since == PlatformRevision.NONE
+        recorded = recorded.mergedWith(RecordedSpan(if (isFirstPage) page.revision else since, page.revision))
+    }
+
     /** Removes upstreams whose entries were not registered again in time, and applies held items whose time is over. */
     public fun tick(nowMillis: Long): List<DirectoryChange> {
         restoredItems.removeDue(nowMillis).forEach { applyEffect(it, nowMillis) }
-        removeExpired(nowMillis)
+        entries.removeExpired(nowMillis)
         return drainChanges()
     }
 
     /**
-     * Removes upstreams whose grace time is over. The end of the grace time is recomputed in each call, because a peer
-     * may have reported in the meantime that the platform was available when the entry was removed.
+     * Returns the items that changed after [since], deletions included, for a peer that lacks them, or all items if not all
+     * changes after [since] are recorded.
      */
-    private fun removeExpired(nowMillis: Long) {
-        val since = reachability.upSince(nowMillis)
-        for (entry in upstreams.values.toList()) {
-            val removeAt = entry.removeAtMillis ?: continue
-            val deadline = if (since == null) removeAt else minOf(removeAt, since + settings.recoveryGraceMillis)
-            if (deadline <= nowMillis) remove(entry.registration.id, "its entry was not registered again")
-        }
-    }
-
-    /** Returns the items that changed after [since], for a peer that lacks them: all of them if [since] is of an older era. */
     public fun itemsAfter(since: PlatformRevision): List<PlatformItem> =
-        itemsByKey.values.filter { PlatformRevision(it.revision, revision.era) > since }
+        if (recorded.coversChangesAfter(since)) {
+            itemsByKey.values.filter { PlatformRevision(it.revision, revision.era) > since }
+        } else {
+            itemsByKey.values.toList()
+        }
 
     /** Digests of the large values to which this gateway can apply a delta. */
     public val valueDigests: List<TextDigest> get() = history.digests
@@ -150,7 +169,7 @@
         DirectoryView(
             revision,
             configuration,
-            upstreams.values.map(::toKnownUpstream).groupBy { it.registration.pool },
+            entries.knownUpstreams(evacuatedZones).groupBy { it.registration.pool },
             evacuatedZones.toSet(),
         )
 
@@ -159,6 +178,8 @@
     private fun apply(item: PlatformItem, nowMillis: Long) {
         val current = itemsByKey[item.key]
         if (current != null && item.revision <= current.revision) return
+        // A delayed message may have a value that was deleted before this directory listed, which has left no record.
+        if (!item.isDeleted && item.revision <= revision.number) return
         val recorded = history.record(item)
         itemsByKey[item.key] = recorded
         restoredItems.remove(item.key)
@@ -170,7 +191,7 @@
         when (val decoded = decoder.decode(item, decodedConfiguration)) {
             is DecodedItem.Configuration -> acceptConfiguration(decoded, item)
             is DecodedItem.ZoneEvacuated -> evacuateZone(decoded.zone)
-            is DecodedItem.Upstream -> register(decoded.registration, nowMillis)
+            is DecodedItem.Upstream -> entries.register(decoded.registration, nowMillis)
             is DecodedItem.Invalid -> rejectItem(item, decoded.reason, nowMillis)
             DecodedItem.Unrelated -> Unit
         }
@@ -199,55 +220,19 @@
         if (evacuatedZones.add(zone)) pendingChanges += DirectoryChange.ZoneEvacuated(zone)
     }
 
-    private fun register(registration: UpstreamRegistration, nowMillis: Long) {
-        val previous = upstreams[registration.id]
-        val coldForMillis = registration.coldFor.inWholeMilliseconds
-        val coldUntil = if (coldForMillis > 0) nowMillis + coldForMillis else previous?.coldUntilMillis ?: 0
-        upstreams[registration.id] = Entry(registration, coldUntil)
-        if (previous?.registration?.copy(coldFor = registration.coldFor) != registration) {
-            pendingChanges += DirectoryChange.UpstreamListed(registration.id, describe(registration))
-        }
-    }
-
     /**
      * Handles an invalid entry like a removed one, so that an earlier, valid entry under its key is no longer used.
      */
     private fun rejectItem(item: PlatformItem, reason: String, nowMillis: Long) {
         pendingChanges += DirectoryChange.ItemRejected(item.key, reason)
-        decoder.upstreamOf(item.key)?.let { onEntryRemoved(it, nowMillis) }
+        decoder.upstreamOf(item.key)?.let { entries.onEntryRemoved(it, nowMillis) }
     }
 
     private fun applyDeletion(item: PlatformItem, nowMillis: Long) {
-        decoder.upstreamOf(item.key)?.let { onEntryRemoved(it, nowMillis) }
+        decoder.upstreamOf(item.key)?.let { entries.onEntryRemoved(it, nowMillis) }
         decoder.evacuatedZoneOf(item.key)?.let { restoreZone(it, nowMillis) }
     }
 
-    /**
-     * Removes [upstream]. If its entry may have expired during an outage of the platform, in which entries of live
-     * upstreams expire too, the upstream is kept for a grace time in which the entry can be registered again.
-     */
-    private fun onEntryRemoved(upstream: UpstreamId, nowMillis: Long) {
-        val entry = upstreams[upstream] ?: return
-        val since = reachability.upSince(nowMillis)
-        val removeAt = (since ?: nowMillis) + settings.recoveryGraceMillis
-        if (entry.registration.draining || (since != null && removeAt <= nowMillis)) {
-            remove(upstream, "its entry was removed")
-        } else {
-            entry.removeAtMillis = removeAt
-            pendingChanges += DirectoryChange.UpstreamExpired(upstream, describeExpiry(since, removeAt, nowMillis))
-        }
-    }
-
-    private fun describeExpiry(upSince: Long?, removeAt: Long, nowMillis: Long): String {
-        val platform = upSince?.let { "has been responding for ${nowMillis - it} ms" } ?: "does not respond"
-        return "its entry was removed and may be restored within ${removeAt - nowMillis} ms, as the platform $platform"
-    }
-
-    private fun remove(upstream: UpstreamId, reason: String) {
-        upstreams.remove(upstream)
-        pendingChanges += DirectoryChange.UpstreamRemoved(upstream, reason)
-    }
-
     /**
      * Ends the evacuation of [zone] and counts its upstreams as cold: without traffic they may have become cold, which
      * they report only in their next entry.
@@ -255,35 +240,9 @@
     private fun restoreZone(zone: AvailabilityZoneId, nowMillis: Long) {
         if (!evacuatedZones.remove(zone)) return
         pendingChanges += DirectoryChange.ZoneRestored(zone)
-        upstreams.values.filter { it.registration.availabilityZone == zone }.forEach { entry ->
-            val coldDuration =
-                configuration
-                    ?.pools
-                    ?.get(entry.registration.pool)
-                    ?.coldStart
-                    ?.duration ?: return@forEach
-            val coldUntil = nowMillis + coldDuration.inWholeMilliseconds + settings.coldMarginMillis
-            entry.coldUntilMillis = maxOf(entry.coldUntilMillis, coldUntil)
+        entries.countAsCold(zone) { pool ->
+            val coldStart = configuration?.pools?.get(pool)?.coldStart
+            coldStart?.let { nowMillis + it.duration.inWholeMilliseconds + settings.coldMarginMillis }
         }
     }
-
-    private fun toKnownUpstream(entry: Entry): KnownUpstream {
-        val registration = entry.registration
-        val ineligibleReason =
-            when {
-                registration.draining -> "it is draining"
-                registration.availabilityZone in evacuatedZones -> "its zone is evacuated"
-                else -> null
-            }
-        return KnownUpstream(registration, entry.coldUntilMillis, ineligibleReason)
-    }
-
-    private class Entry(val registration: UpstreamRegistration, var coldUntilMillis: Long) {
-        /** When the upstream is removed, or null while its entry exists. */
-        var removeAtMillis: Long? = null
-    }
 }
-
-private fun describe(registration: UpstreamRegistration): String =
-    "${if (registration.draining) "draining" else "ready"} in ${registration.availabilityZone} at " +
-        "${registration.address}, pool ${registration.pool}, software ${registration.softwareVersion}"
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryManager.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryManager.kt
@@ -51,6 +51,9 @@
 
     val revision: PlatformRevision get() = directory.revision
 
+    /** Returns the revision since which all changes are recorded, or null if it is not later than [since]. */
+    fun recordedSinceLaterThan(since: PlatformRevision): PlatformRevision? = directory.recordedSinceLaterThan(since)
+
     /** Time since this view was last confirmed as the newest one, or null if it never was. */
     val ageMillis: Long? get() = freshness.ageMillis(nowMillis())
 
--- a/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ExchangeLoop.kt
@@ -36,7 +36,7 @@
     private var requestCountsScheduled = false
     private var crashEvidenceScheduled = false
     private val relay = ItemRelay(directory)
-    private val pages = ItemPages(relay, directory::revision, nowMillis)
+    private val pages = ItemPages(relay, directory, nowMillis)
     private val catchUp =
         CatchUp(
             scope,
@@ -195,7 +195,8 @@
             directory.recordPeerReachability(relayed.reachableMillis, relayed.answeredAgoMillis)
         }
         val appliedSince = if (decoded.areComplete) since else relayed.platformRevision
-        val changes = PlatformChanges(relayed.platformRevision, decoded.items)
+        val recordedSince = relayed.recordedSinceRevision.takeIf { decoded.areComplete }
+        val changes = PlatformChanges(relayed.platformRevision, decoded.items, recordedSince)
         directory.applyPeerChanges(appliedSince, changes, "gateway ${peer.address}")
         if (directory.revision > before) announce(fleet.sourceOf(peer))
         return decoded.areComplete
--- a/src/main/kotlin/org/primrosesill/gateway/ItemPages.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ItemPages.kt
@@ -21,19 +21,23 @@
 /** Confined to the control thread. Times are milliseconds of a monotonic clock. */
 internal class ItemPages(
     private val relay: ItemRelay,
-    private val currentRevision: () -> PlatformRevision,
+    private val directory: DirectoryManager,
     private val nowMillis: () -> Long,
 ) {
     private val pages = LinkedHashMap<PageKey, ItemPage>()
 
-    /** Returns the items after [since] for a peer that has the large values with the digests [known]. */
+    /**
+     * Returns the items after [since] for a peer that has the large values with the digests [known], or all items if not all
+     * changes after [since] are recorded.
+     */
     fun page(since: PlatformRevision, known: Set<TextDigest>): ItemPage {
         val oldest = nowMillis() - MAXIMUM_AGE_MILLIS
         pages.values.removeIf { it.encodedAtMillis < oldest }
-        val key = PageKey(currentRevision(), since, known)
+        val start = if (directory.recordedSinceLaterThan(since) == null) since else PlatformRevision.NONE
+        val key = PageKey(directory.revision, start, known)
         pages[key]?.let { return it }
         if (pages.size >= MAXIMUM_PAGES) pages.remove(pages.keys.first())
-        return encode(since, known).also { pages[key] = it }
+        return encode(start, known).also { pages[key] = it }
     }
 
     private fun encode(since: PlatformRevision, known: Set<TextDigest>): ItemPage =
--- a/src/main/kotlin/org/primrosesill/gateway/ItemRelay.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ItemRelay.kt
@@ -30,11 +30,11 @@
 /** Confined to the control thread. */
 internal class ItemRelay(private val directory: DirectoryManager) {
     /**
-     * Returns the items that changed after [since], for a peer that has the large values with the digests [known]. All
-     * values are whole if [known] is empty.
+     * Returns the items that changed after [since], or all items if not all changes after it are recorded, for a peer that has
+     * the large values with the digests [known]. All values are whole if [known] is empty.
      */
     fun itemsAfter(since: PlatformRevision, known: Set<TextDigest>): RelayedItems =
-        relayed(directory.changesAfter(since, known))
+        relayed(directory.changesAfter(since, known), since)
 
     /**
      * Returns the changes after [since] that fit into datagrams: a change of an upstream's entry does not wait for a large
@@ -43,12 +43,16 @@
     fun announcedChanges(since: PlatformRevision): AnnouncedChanges {
         val changes = directory.changesSince(since)
         if (changes.sumOf(::charactersOf) <= MAXIMUM_CHANGES_CHARACTERS) {
-            return AnnouncedChanges(listOf(relayed(changes)), areComplete = true)
+            return AnnouncedChanges(listOf(relayed(changes, since)), areComplete = true)
         }
-        val small = changes.filter { charactersOf(it) <= MAXIMUM_CHANGES_CHARACTERS }
-        return AnnouncedChanges(datagramsOf(small).take(MAXIMUM_DATAGRAMS).map(::relayed), areComplete = false)
+        val small = changes.filter { charactersOf(it) <= MAXIMUM_CHANGES_CHARACTERS && it.isAfter(since) }
+        val datagrams = datagramsOf(small).take(MAXIMUM_DATAGRAMS)
+        return AnnouncedChanges(datagrams.map { relayed(it, directory.revision) }, areComplete = false)
     }
 
+    private fun ItemChange.isAfter(since: PlatformRevision) =
+        PlatformRevision(item.revision, directory.revision.era) > since
+
     private fun datagramsOf(changes: List<ItemChange>): List<List<ItemChange>> {
         val datagrams = ArrayList<MutableList<ItemChange>>()
         var characters = MAXIMUM_CHANGES_CHARACTERS
@@ -79,10 +83,11 @@
         return change.item.key.length + valueCharacters
     }
 
-    private fun relayed(changes: List<ItemChange>) =
+    private fun relayed(changes: List<ItemChange>, since: PlatformRevision) =
         RelayedItems(
             revision = directory.revision.number,
             era = directory.revision.era,
+            recordedSince = directory.recordedSinceLaterThan(since)?.number ?: -1,
             items = changes.map(::encode),
             reachableMillis = directory.platformReachableMillis ?: -1,
             answeredAgoMillis = directory.platformResponseAgeMillis ?: -1,
--- a/src/main/kotlin/org/primrosesill/gateway/PlatformRevisions.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformRevisions.kt
@@ -14,6 +14,10 @@
 
 internal val RelayedItems.platformRevision: PlatformRevision get() = PlatformRevision(revision, era)
 
+/** The revision since which the sender has recorded all changes, if the items are its complete content, or else null. */
+internal val RelayedItems.recordedSinceRevision: PlatformRevision?
+    get() = if (recordedSince < 0) null else PlatformRevision(recordedSince, era)
+
 /** Returns the part of [member], which holds the items up to [revision]. */
 internal fun partOf(member: Member, revision: PlatformRevision): RouterPart =
     RouterPart(member, revision.number, platformEra = revision.era)
--- a/src/test/kotlin/org/primrosesill/discovery/RestoredPlatformTest.kt
+++ b/src/test/kotlin/org/primrosesill/discovery/RestoredPlatformTest.kt
@@ -200,7 +200,10 @@
         list(PlatformRevision(11, 2), listOf(anchor, item("config", 2, "3")), at = RESTORED_AT)
         val relayed = directory.itemsAfter(PlatformRevision(20, 1)).associate { it.key to it.value }
         expectThat(relayed).isEqualTo(mapOf<String, String?>(anchor.key to anchor.value, "config" to "7"))
-        expectThat(directory.itemsAfter(PlatformRevision(9, 2)).map { it.key }).isEqualTo(emptyList())
+        expectThat(directory.itemsAfter(PlatformRevision(11, 2)).map { it.key }).isEqualTo(emptyList())
+        // What was deleted between revision 9 and the listing is unknown, so that a peer needs the complete content.
+        expectThat(directory.itemsAfter(PlatformRevision(9, 2)).map { it.key }.toSet())
+            .isEqualTo(setOf(anchor.key, "config"))
         expectThat(directory.itemsAfter(PlatformRevision(0, 2)).map { it.key }).contains("config")
     }
 
