Give an attempt up only when another one can follow

Cause: an attempt was given up when its limit passed, before it was certain that another one could follow. The limits held for the last attempt too, for routes with one attempt, with an empty retry budget and without another upstream.

A retry that was withdrawn and is not used goes back to the budget, also when no upstream can take the request.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -1,10 +1,11 @@
 /*
- * The attempts of one request: selects the upstream of each, and decides whether a failed one is followed by another.
+ * The attempts of one request: sends it to one upstream after another and reports the outcomes.
  */
 package org.primrosesill.forwarding
 
 import org.primrosesill.generated.EventType
 import org.primrosesill.model.Failure
+import org.primrosesill.model.PoolId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.PlacementRequest
 import org.primrosesill.placement.PlacementResult
@@ -23,32 +24,59 @@
      * allowed. Returns null when the caller has received a complete response, or else the failure to report.
      */
     suspend fun run(context: RequestContext, callerResponse: OutboundResponse): Failure? {
-        val progress = Progress(context, callerResponse)
+        val allowance = allowanceFor(context)
+        try {
+            return run(context, callerResponse, allowance)
+        } finally {
+            allowance.releaseReserved()
+        }
+    }
+
+    private suspend fun run(
+        context: RequestContext,
+        callerResponse: OutboundResponse,
+        allowance: AttemptAllowance,
+    ): Failure? {
+        val fallback = FallbackResponse(callerResponse)
         while (true) {
-            progress.failureIfExhausted()?.let { return progress.fallback.respondOr(it) }
-            crashingPromptFailure(context)?.let { return progress.fallback.respondOr(it) }
+            crashingPromptFailure(context)?.let { return fallback.respondOr(it) }
             val placement =
-                when (val result = place(context, progress.excluded)) {
-                    is PlacementResult.Chosen -> result
-                    is PlacementResult.Rejected ->
-                        return progress.fallback.respondOr(
-                            Failure.NoUpstream(context.pool, result.reason, result.retryAfter),
-                        )
+                when (val next = allowance.next()) {
+                    is NextAttempt.Allowed -> next.placement
+                    is NextAttempt.Denied -> return fallback.respondOr(next.failure)
                 }
             val upstream = placement.upstream.id
             dependencies.events.record(EventType.REQUEST_ROUTED, context.metadata.id, upstream, placement.explanation)
             val startedAt = TimeSource.Monotonic.markNow()
-            val outcome = attempt(context, placement, callerResponse)
+            val outcome = attempt(context, placement, callerResponse, allowance)
             recordOutcome(context, upstream, outcome, startedAt.elapsedNow())
             recordCrashEvidence(context, upstream, outcome)
             when (outcome) {
                 is AttemptOutcome.Delivered -> return null
                 is AttemptOutcome.Cut -> return Failure.AnswerCut(upstream, outcome.reason)
-                else -> progress.record(upstream, outcome)
+                is AttemptOutcome.Failed -> fallback.record(outcome)
+                is AttemptOutcome.Unknown -> fallback.record(unknownOutcomeFailure(context, upstream, outcome))
+                else -> Unit
             }
+            allowance.record(upstream, outcome)
         }
     }
 
+    private fun allowanceFor(context: RequestContext) =
+        AttemptAllowance(
+            context.route,
+            context.pool,
+            retriesOf(context.pool),
+            context::timeLeft,
+        ) { excluded -> place(context, excluded) }
+
+    private fun retriesOf(pool: PoolId) =
+        object : RetryAllowance {
+            override fun tryAcquire() = dependencies.retryBudget.tryAcquire(pool)
+
+            override fun release() = dependencies.retryBudget.release(pool)
+        }
+
     private fun crashingPromptFailure(context: RequestContext): Failure? =
         context.metadata.prompt
             ?.let(dependencies.crashingParts::blockedPart)
@@ -65,43 +93,6 @@
         }
     }
 
-    /** The outcomes of the attempts of one request so far. */
-    private inner class Progress(private val context: RequestContext, callerResponse: OutboundResponse) {
-        val fallback = FallbackResponse(callerResponse)
-        val excluded = HashSet<UpstreamId>()
-        private var sentAttempts = 0
-        private var possibleExecutions = 0
-        private var lastRejection: Failure? = null
-
-        /** Returns why the request is sent to no further upstream, or null when another attempt is allowed. */
-        fun failureIfExhausted(): Failure? =
-            when {
-                !context.timeLeft().isPositive() ->
-                    Failure.NoUpstream(context.pool, "the deadline passed", RETRY_AFTER)
-                possibleExecutions > 0 &&
-                    (!context.route.idempotent || possibleExecutions >= context.route.maximumAttempts) ->
-                    Failure.NoUpstream(context.pool, "no further attempts are allowed", RETRY_AFTER)
-                excluded.size >= MAXIMUM_UPSTREAMS -> lastRejection
-                // Only attempts that reach an upstream load it, so only these count against the retry budget.
-                sentAttempts > 0 && !dependencies.retryBudget.tryAcquire(context.pool) ->
-                    Failure.NoUpstream(context.pool, "the retry budget is exhausted", RETRY_AFTER)
-                else -> null
-            }
-
-        fun record(upstream: UpstreamId, outcome: AttemptOutcome) {
-            excluded += upstream
-            if (outcome !is AttemptOutcome.NotSent) sentAttempts++
-            when (outcome) {
-                is AttemptOutcome.Failed -> fallback.record(outcome)
-                is AttemptOutcome.Unknown -> fallback.record(unknownOutcomeFailure(context, upstream, outcome))
-                is AttemptOutcome.NotRun ->
-                    lastRejection = Failure.UpstreamRefused(upstream, outcome.reason, RETRY_AFTER)
-                else -> lastRejection = Failure.UpstreamUnreachable(upstream, RETRY_AFTER)
-            }
-            if (outcome is AttemptOutcome.Failed || outcome is AttemptOutcome.Unknown) possibleExecutions++
-        }
-    }
-
     private fun place(context: RequestContext, excluded: Set<UpstreamId>): PlacementResult {
         val request =
             PlacementRequest(
@@ -118,23 +109,27 @@
         context: RequestContext,
         placement: PlacementResult.Chosen,
         callerResponse: OutboundResponse,
+        allowance: AttemptAllowance,
     ): AttemptOutcome {
         val upstream = placement.upstream.id
         val activity = dependencies.activity
         val prompt = PendingPrompt(placement)
         activity.recordStart(upstream, placement.prefillTokens)
         try {
-            val call = upstreamCall(context, placement)
-            val result =
-                dependencies.client.exchange(call) {
-                    relay.relay(context, placement.upstream, it, callerResponse) { prompt.markPrefilled(context) }
-                }
+            val attempt =
+                AttemptInProgress(
+                    placement.upstream,
+                    { prompt.markPrefilled(context) },
+                    replacement(context, placement, allowance),
+                )
+            val result = exchange(context, placement, attempt, callerResponse)
             if (result !is ExchangeResult.Responded) activity.recordConnectionFailure(upstream)
             return when (result) {
                 is ExchangeResult.Responded -> result.value
                 is ExchangeResult.NotSent -> AttemptOutcome.NotSent(result.reason)
                 is ExchangeResult.ConnectionFailed -> AttemptOutcome.Unknown(result.reason, connectionLost = true)
-                ExchangeResult.TimedOut -> AttemptOutcome.Unknown("no response within ${call.timeout}")
+                ExchangeResult.TimedOut -> AttemptOutcome.Unknown("no response before the deadline")
+                null -> AttemptOutcome.Unknown("no response within ${responseTimeout(context.route)}")
             }
         } finally {
             prompt.release()
@@ -142,7 +137,42 @@
         }
     }
 
-    private fun upstreamCall(context: RequestContext, placement: PlacementResult.Chosen): UpstreamCall {
+    /** Returns what reserves the attempt that replaces the one at [placement], or null if none may follow it. */
+    private fun replacement(
+        context: RequestContext,
+        placement: PlacementResult.Chosen,
+        allowance: AttemptAllowance,
+    ): (() -> Boolean)? =
+        if (allowance.allowsReplacement) {
+            { crashingPromptFailure(context) == null && allowance.reserveAfter(placement.upstream.id) }
+        } else {
+            null
+        }
+
+    /** Returns the result of the call, or null if it was given up before its response began. */
+    private suspend fun exchange(
+        context: RequestContext,
+        placement: PlacementResult.Chosen,
+        attempt: AttemptInProgress,
+        callerResponse: OutboundResponse,
+    ): ExchangeResult<AttemptOutcome>? {
+        val giveUp =
+            attempt.giveUp ?: return dependencies.client.exchange(upstreamCall(context, placement)) {
+                relay.relay(context, attempt, it, callerResponse)
+            }
+        return awaitUnlessStalled(StallLimit(responseTimeout(context.route), giveUp), measuresAtOnce = false) { timer ->
+            dependencies.client.exchange(upstreamCall(context, placement, onSent = timer::start)) {
+                timer.stop()
+                relay.relay(context, attempt, it, callerResponse)
+            }
+        }
+    }
+
+    private fun upstreamCall(
+        context: RequestContext,
+        placement: PlacementResult.Chosen,
+        onSent: () -> Unit = {},
+    ): UpstreamCall {
         val upstream = placement.upstream
         val request = context.request
         val metadata =
@@ -165,7 +195,7 @@
                     .orEmpty(),
             headers = dependencies.protocol.upstreamRequestHeaders(request, metadata),
             body = request.body.takeIf { it.isNotEmpty() || "Content-Length" in request.headers },
-            timeout = attemptTimeout(context),
+            timeout = context.timeLeft().coerceAtLeast(1.milliseconds),
             host = request.headers["Host"].orEmpty(),
             connection =
                 if (context.route.idempotent) {
@@ -174,6 +204,7 @@
                     ConnectionUse.NewPersistent
                 },
             matchHead = { dependencies.protocol.matchRequest(context.metadata.id, it) },
+            onSent = onSent,
         )
     }
 
@@ -205,12 +236,6 @@
             Failure.DeadlineExceeded(upstream, context.route.timeout)
         }
 
-    /** Limits the attempt of a request that may be executed again, so that time is left for another upstream. */
-    private fun attemptTimeout(context: RequestContext): Duration {
-        val timeLeft = context.timeLeft().coerceAtLeast(1.milliseconds)
-        return if (context.route.idempotent) minOf(timeLeft, responseTimeout(context.route)) else timeLeft
-    }
-
     private fun recordOutcome(
         context: RequestContext,
         upstream: UpstreamId,
@@ -230,9 +255,6 @@
     }
 
     private companion object {
-        /** Maximum number of upstreams that are tried for one request. */
-        const val MAXIMUM_UPSTREAMS = 4
         val MAXIMUM_CONNECTION_IDLE = 4_000.milliseconds
-        val RETRY_AFTER = 300.milliseconds
     }
 }
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -1,10 +1,23 @@
 /*
- * The outcome of one attempt to send a request to an upstream.
+ * One attempt to send a request to an upstream, and its outcome.
  */
 package org.primrosesill.forwarding
 
+import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.Failure
 
+/**
+ * An attempt whose outcome is not known yet.
+ *
+ * @property onPromptPrefilled called on the first event of a stream
+ * @property giveUp reserves the attempt that replaces this one and returns whether there is one; null if none may follow
+ */
+internal class AttemptInProgress(
+    val upstream: KnownUpstream,
+    val onPromptPrefilled: () -> Unit,
+    val giveUp: (() -> Boolean)?,
+)
+
 /** The names of the subclasses are values of the `result` label of the attempt metric. */
 internal sealed interface AttemptOutcome {
     /** Text for the event log. */
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptTimeouts.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptTimeouts.kt
@@ -1,5 +1,5 @@
 /*
- * Timeouts after which a request that may be executed again is sent to another upstream.
+ * Timeouts after which a request that may be executed again is sent to another upstream, if one can take it.
  *
  * Load pattern: upstreams that hang, or that become unreachable without closing their connections, while others would
  * respond at once.
@@ -25,6 +25,9 @@
 internal fun streamIdleTimeout(route: Route): Duration =
     (route.eventIntervalTarget ?: DEFAULT_EVENT_INTERVAL_TARGET) * STREAM_IDLE_FACTOR
 
+/** Returns the time that an attempt needs to begin its response. One with less time left is not worth giving up another. */
+internal fun minimumAttemptTime(route: Route): Duration = route.latencyTarget
+
 private const val FIRST_EVENT_FACTOR = 1.5
 private const val NON_STREAMING_FACTOR = 2.5
 private val MINIMUM_NON_STREAMING = 250.milliseconds
--- a/src/main/kotlin/org/primrosesill/forwarding/PoolRetryBudget.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/PoolRetryBudget.kt
@@ -41,6 +41,11 @@
         return true
     }
 
+    /** Returns the retry that was withdrawn from the budget of [pool] last and was not used. */
+    public fun release(pool: PoolId) {
+        window(pool).retries.removeLast()
+    }
+
     /**
      * Half of the fixed number is reserved for retries by routers that stopped recently, because the routers that
      * replace them have no record of these retries.
@@ -71,6 +76,10 @@
 
     fun add(timestamp: Long) = timestamps.addLast(timestamp)
 
+    fun removeLast() {
+        timestamps.removeLastOrNull()
+    }
+
     fun dropBefore(earliest: Long) {
         while (timestamps.isNotEmpty() && timestamps.first() < earliest) timestamps.removeFirst()
     }
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -18,11 +18,11 @@
 
     suspend fun relay(
         context: RequestContext,
-        upstream: KnownUpstream,
+        attempt: AttemptInProgress,
         response: UpstreamResponse,
         callerResponse: OutboundResponse,
-        onPromptPrefilled: () -> Unit,
     ): AttemptOutcome {
+        val upstream = attempt.upstream
         val metadata = protocol.parse(response.status, response.headers)
         dependencies.activity.recordZoneResponse(upstream.registration.availabilityZone)
         dependencies.activity.recordData(upstream.id)
@@ -34,7 +34,7 @@
             metadata.contentEncoded -> AttemptOutcome.Unknown("response body has a content encoding")
             !metadata.signed -> AttemptOutcome.Unknown("status ${response.status} without a signature")
             success && context.route.kind == RouteKind.STREAM && isEventStream(response) ->
-                StreamRelay(dependencies, context, upstream, response, callerResponse, onPromptPrefilled).relay()
+                StreamRelay(dependencies, context, attempt, response, callerResponse).relay()
             else -> {
                 val buffer = ByteArrayOutputStream()
                 try {
--- a/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
@@ -7,25 +7,22 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.answer.StreamEvent
-import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.request.UpstreamResponse
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * The relay of one response.
  *
  * @param callerResponse has been started if the stream is resumed
- * @param onPromptPrefilled called on the first event
  */
 internal class StreamRelay(
     private val dependencies: ForwarderDependencies,
     private val context: RequestContext,
-    private val upstream: KnownUpstream,
+    private val attempt: AttemptInProgress,
     private val response: UpstreamResponse,
     private val callerResponse: OutboundResponse,
-    private val onPromptPrefilled: () -> Unit,
 ) {
+    private val upstream = attempt.upstream
     private val reader = EventStreamReader(response.body, dependencies.buffers)
     private val resumed = callerResponse.started
     private var eventCount = 0
@@ -39,7 +36,7 @@
 
     private suspend fun relayParts(): AttemptOutcome {
         while (true) {
-            when (val part = reader.next(eventTimeout())) {
+            when (val part = nextPart()) {
                 is StreamPart.Events -> relayEvents(part)?.let { return it }
                 is StreamPart.Interrupted -> return interrupted(part)
                 is StreamPart.End -> return end(part)
@@ -53,7 +50,7 @@
      */
     private suspend fun relayEvents(part: StreamPart.Events): AttemptOutcome? {
         dependencies.activity.recordData(upstream.id)
-        if (eventCount == 0) onPromptPrefilled()
+        if (eventCount == 0) attempt.onPromptPrefilled()
         if (!callerResponse.started) {
             dependencies.metrics.responseStarted(context.pool, context.request.arrivedAt.elapsedNow())
         }
@@ -111,12 +108,15 @@
     }
 
     /**
-     * Limits the wait for an event of a stream that can be resumed, so that it moves to another upstream after a stall.
+     * Returns the next part. A stream that can be resumed leaves a stalled upstream as soon as another attempt can follow;
+     * until then it waits on, as the upstream may be sound and slow.
      */
-    private fun eventTimeout(): Duration {
-        if (!context.route.idempotent) return context.timeLeft()
+    private suspend fun nextPart(): StreamPart {
+        val giveUp = attempt.giveUp ?: return reader.next(context.timeLeft())
         val limit = if (eventCount > 0) streamIdleTimeout(context.route) else responseTimeout(context.route)
-        return minOf(context.timeLeft(), limit)
+        return awaitUnlessStalled(StallLimit(limit, giveUp), measuresAtOnce = true) {
+            reader.next(context.timeLeft())
+        } ?: StreamPart.Interrupted("no event received for $limit")
     }
 
     private companion object {
--- a/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
@@ -18,6 +18,7 @@
  * @property timeout time within which the response head must arrive
  * @property host value of the Host header
  * @property matchHead decides whether a response with the given header fields belongs to this call
+ * @property onSent called when the request is sent, after a connection was established
  */
 public class UpstreamCall(
     public val upstream: UpstreamId,
@@ -31,6 +32,7 @@
     public val host: String = address,
     public val connection: ConnectionUse = ConnectionUse.NonPersistent,
     public val matchHead: (HeaderFields) -> HeadMatch = { HeadMatch.THIS_CALL },
+    public val onSent: () -> Unit = {},
 )
 
 /** Whether a response belongs to a call. */
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -99,6 +99,7 @@
         var reusable = false
         try {
             connection.send(requestMessageOf(call), call.matchHead)
+            call.onSent()
             val head =
                 when (val received = withTimeoutOrNull(call.timeout) { connection.receive() }) {
                     null -> return ExchangeResult.TimedOut
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/forwarding/AttemptAllowanceTest.kt
@@ -0,0 +1,149 @@
+/*
+ * Whether an attempt in progress may be replaced by another one, and what that takes.
+ */
+package org.primrosesill.forwarding
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.model.RouterId
+import org.primrosesill.model.UpstreamId
+import org.primrosesill.placement.FleetMembers
+import org.primrosesill.placement.PlacementResult
+import org.primrosesill.route.RouteKind
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A fixed number of retries. */
+private class CountedRetries(var left: Int) : RetryAllowance {
+    override fun tryAcquire(): Boolean {
+        if (left == 0) return false
+        left--
+        return true
+    }
+
+    override fun release() {
+        left++
+    }
+}
+
+class AttemptAllowanceTest {
+    private class Case(
+        val name: String,
+        val isReserved: Boolean,
+        val kind: RouteKind = RouteKind.IDEMPOTENT,
+        val resumable: Boolean = false,
+        val attempts: Int = 2,
+        val upstreams: Int = 3,
+        val retries: Int = 1,
+        val timeLeft: Duration = 2.seconds,
+        val earlier: List<AttemptOutcome> = emptyList(),
+    )
+
+    private val unknown = AttemptOutcome.Unknown("reset")
+    private val notRun = AttemptOutcome.NotRun("busy")
+
+    private fun allowance(case: Case, retries: RetryAllowance) =
+        AttemptAllowance(
+            testRoute("/x/", case.kind, case.resumable, case.attempts),
+            testPool,
+            retries,
+            { case.timeLeft },
+        ) { excluded ->
+            (1..case.upstreams)
+                .map { testUpstream("u$it") }
+                .firstOrNull { it.id !in excluded }
+                ?.let { PlacementResult.Chosen(it) }
+                ?: PlacementResult.Rejected("none", 100.milliseconds)
+        }
+
+    /** Makes the attempts of [case] up to the one in progress, and returns its upstream. */
+    private fun AttemptAllowance.startAttempts(case: Case): UpstreamId {
+        for (outcome in case.earlier) record(nextUpstream(), outcome)
+        return nextUpstream()
+    }
+
+    private fun AttemptAllowance.nextUpstream(): UpstreamId =
+        expectThat(next())
+            .isA<NextAttempt.Allowed>()
+            .subject.placement.upstream.id
+
+    // Guards against a sound upstream that is given up although no other attempt can follow (issue 41, review/4), and against
+    // retries that are spent without an attempt.
+    @TestFactory
+    fun `an attempt is replaced only with all that the next one needs`(): List<DynamicTest> =
+        listOf(
+            Case("a second attempt is allowed", true),
+            Case("resumable stream", true, kind = RouteKind.STREAM, resumable = true),
+            Case("stream that cannot be resumed", false, kind = RouteKind.STREAM),
+            Case("request that may run once", false, kind = RouteKind.NON_IDEMPOTENT),
+            Case("one attempt allowed", false, attempts = 1),
+            Case("last attempt", false, retries = 2, earlier = listOf(unknown)),
+            Case("attempt that was not run before", true, retries = 2, earlier = listOf(notRun)),
+            Case("no other upstream", false, upstreams = 1),
+            Case(
+                "all other upstreams tried",
+                false,
+                attempts = 4,
+                upstreams = 2,
+                retries = 2,
+                earlier = listOf(unknown),
+            ),
+            Case("retry budget empty", false, retries = 0),
+            Case("too late for another response", false, timeLeft = 99.milliseconds),
+            Case("just in time", true, timeLeft = 100.milliseconds),
+            Case("maximum number of upstreams", false, upstreams = 9, retries = 9, earlier = List(3) { notRun }),
+        ).map { case ->
+            dynamicTest(case.name) {
+                val retries = CountedRetries(case.retries)
+                val allowance = allowance(case, retries)
+                val current = allowance.startAttempts(case)
+                val before = retries.left
+                expectThat(allowance.reserveAfter(current)).isEqualTo(case.isReserved)
+                expectThat(before - retries.left).describedAs("retries spent").isEqualTo(if (case.isReserved) 1 else 0)
+                allowance.releaseReserved()
+                expectThat(retries.left).describedAs("retries after the release").isEqualTo(before)
+            }
+        }
+
+    // Guards against a reservation whose retry is spent twice, or that is not used for the next attempt.
+    @Test
+    fun `the reserved attempt follows without another retry`() {
+        val retries = CountedRetries(1)
+        val case = Case("reserved", true)
+        val allowance = allowance(case, retries)
+        val current = allowance.startAttempts(case)
+        expectThat(allowance.reserveAfter(current)).isEqualTo(true)
+        allowance.record(current, unknown)
+        expectThat(allowance.nextUpstream()).isEqualTo(UpstreamId("u2"))
+        expectThat(retries.left).isEqualTo(0)
+        allowance.releaseReserved()
+        expectThat(retries.left).describedAs("retries after their use").isEqualTo(0)
+    }
+
+    // Guards against a retry of the budget that is withdrawn and not given back when no upstream can take the request.
+    @Test
+    fun `a denied attempt spends no retry`() {
+        val retries = CountedRetries(1)
+        val case = Case("denied", false, upstreams = 1)
+        val allowance = allowance(case, retries)
+        allowance.record(allowance.startAttempts(case), unknown)
+        expectThat(allowance.next()).isA<NextAttempt.Denied>()
+        expectThat(retries.left).isEqualTo(1)
+    }
+
+    // Guards against a released retry that stays spent for the window of the budget.
+    @Test
+    fun `a released retry can be acquired again`() {
+        val members = FleetMembers(RouterId("self"), emptySet(), isComplete = true)
+        val budget = PoolRetryBudget({ RetryLimit(0.0, 10_000, fixed = 2) }, { members }, { 0 })
+        expectThat(List(2) { budget.tryAcquire(testPool) }).isEqualTo(listOf(true, false))
+        budget.release(testPool)
+        expectThat(List(2) { budget.tryAcquire(testPool) }).isEqualTo(listOf(true, false))
+    }
+}
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -34,6 +34,7 @@
 import org.primrosesill.route.RouteTable
 import org.primrosesill.route.RouteTarget
 import org.primrosesill.route.ServingConfiguration
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -170,11 +171,12 @@
         headers: HeaderFields = HeaderFields(),
         body: String = "",
         id: String = "r1",
+        arrivedAt: ComparableTimeMark = TimeSource.Monotonic.markNow(),
     ): RecordingResponse {
         val fields =
             headerFieldsOf("Host" to "h.example", "X-Attempt-Id" to id, "Authorization" to "Bearer $CREDENTIAL") +
                 headers
-        val request = InboundRequest(method, target, fields, body.toByteArray(), TimeSource.Monotonic.markNow())
+        val request = InboundRequest(method, target, fields, body.toByteArray(), arrivedAt)
         return RecordingResponse().also { handler.handle(request, it) }
     }
 }
--- /dev/null
+++ b/src/test/kotlin/org/primrosesill/forwarding/SlowUpstreamTest.kt
@@ -0,0 +1,221 @@
+/*
+ * Requests to upstreams that are slow or pause for longer than their limits, in virtual time. A sound upstream is left only for
+ * an attempt that can follow, and a silent one is left as soon as one can.
+ */
+package org.primrosesill.forwarding
+
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import kotlinx.coroutines.withTimeoutOrNull
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.model.toHeaderFields
+import org.primrosesill.placement.Placement
+import org.primrosesill.placement.PlacementRequest
+import org.primrosesill.placement.PlacementResult
+import org.primrosesill.request.BodyPart
+import org.primrosesill.request.ExchangeResult
+import org.primrosesill.request.UpstreamCall
+import org.primrosesill.request.UpstreamClient
+import org.primrosesill.request.UpstreamResponse
+import org.primrosesill.route.RouteKind
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private const val NEVER = Long.MAX_VALUE
+
+/**
+ * How an upstream responds, in milliseconds.
+ *
+ * @property pauses pause before each event of a stream
+ */
+private class Pace(val head: Long = 0, val pauses: List<Long> = emptyList(), val comments: Boolean = false)
+
+/** Responds to each call at the pace of its number. */
+private class PacedClient(private val paces: List<Pace>, private val isStream: Boolean) : UpstreamClient {
+    var calls = 0
+
+    override suspend fun <T> exchange(call: UpstreamCall, use: suspend (UpstreamResponse) -> T): ExchangeResult<T> {
+        val pace = paces[minOf(calls++, paces.lastIndex)]
+        call.onSent()
+        withTimeoutOrNull(call.timeout) { pause(pace.head) } ?: return ExchangeResult.TimedOut
+        val headers = mapOf("X-Server-Signature" to "s", "X-Attempt-Id" to "r1").toHeaderFields()
+        val first = call.headers["Last-Event-Id"]?.toInt() ?: 0
+        var sent = first
+        val response =
+            UpstreamResponse(200, headers) {
+                if (!isStream) {
+                    if (sent++ == first) BodyPart.Bytes("ok".toByteArray()) else BodyPart.End
+                } else if (sent - first == pace.pauses.size) {
+                    BodyPart.End
+                } else if (pace.comments && pace.pauses[sent - first] == NEVER) {
+                    pause(COMMENT_INTERVAL_MILLIS)
+                    BodyPart.Bytes(": wait\n".toByteArray())
+                } else {
+                    pause(pace.pauses[sent++ - first])
+                    BodyPart.Bytes("id: $sent\ndata: x\n\n".toByteArray())
+                }
+            }
+        return ExchangeResult.Responded(use(response))
+    }
+
+    private suspend fun pause(millis: Long) = if (millis == NEVER) awaitCancellation() else delay(millis)
+
+    private companion object {
+        const val COMMENT_INTERVAL_MILLIS = 100L
+    }
+}
+
+class SlowUpstreamTest {
+    /**
+     * @property calls number of upstreams to which the request is sent
+     * @property endsMillis when its caller has the complete response
+     * @property freeFromMillis time from which another upstream than the first one is available
+     */
+    private class Case(
+        val name: String,
+        val attempts: Int,
+        val upstreams: Int,
+        val paces: List<Pace>,
+        val calls: Int,
+        val endsMillis: Long,
+        val isStream: Boolean = true,
+        val retries: Int = 100,
+        val result: String = "200",
+        val freeFromMillis: Long = 0,
+        val timeout: Duration = 4.seconds,
+    )
+
+    private fun read(name: String, attempts: Int, upstreams: Int, paces: List<Pace>, calls: Int, endsMillis: Long) =
+        Case(name, attempts, upstreams, paces, calls, endsMillis, isStream = false)
+
+    private val pauseOf1500 = listOf(Pace(pauses = listOf(30, 30, 1_500, 30)))
+    private val pauseOf1000 = listOf(Pace(pauses = listOf(30, 1_000, 30)))
+
+    // Guards against sound work that is given up although no other attempt can follow, so that its caller gets nothing
+    // (issue 41, review/4): the head of a response, the first event and the next one, in each state of the attempts.
+    @TestFactory
+    fun `a sound upstream that is slow is waited for`(): List<DynamicTest> =
+        listOf(
+            read("read, one attempt", 1, 3, listOf(Pace(2_500)), calls = 1, endsMillis = 2_500),
+            read("read, one upstream", 3, 1, listOf(Pace(2_500)), calls = 1, endsMillis = 2_500),
+            read("read, last attempt", 2, 3, listOf(Pace(1_900)), calls = 2, endsMillis = 3_400),
+            Case("stream, one attempt, a pause", 1, 3, pauseOf1500, calls = 1, endsMillis = 1_590),
+            Case("stream, one upstream, a pause", 3, 1, pauseOf1500, calls = 1, endsMillis = 1_590),
+            Case(
+                "stream, one upstream, a late first event",
+                2,
+                1,
+                listOf(Pace(pauses = listOf(1_500, 30))),
+                calls = 1,
+                endsMillis = 1_530,
+            ),
+            Case("stream, last attempt, a pause in each run", 2, 3, pauseOf1000, calls = 2, endsMillis = 1_890),
+            Case("stream, empty retry budget", 2, 3, pauseOf1500, calls = 1, endsMillis = 1_590, retries = 0),
+            Case("stream, no free upstream", 2, 3, pauseOf1500, 1, endsMillis = 1_590, freeFromMillis = 3_000),
+            Case(
+                "stream, too late for another attempt",
+                2,
+                3,
+                listOf(Pace(pauses = listOf(30, 1_000, 30))),
+                calls = 1,
+                endsMillis = 1_060,
+                timeout = 1_200.milliseconds,
+            ),
+        ).map(::test)
+
+    // Guards against a stalled upstream that holds a request although another one is free, which it becomes at any time.
+    @TestFactory
+    fun `a silent upstream is left when another attempt can follow`(): List<DynamicTest> =
+        listOf(
+            Case("read", 2, 3, listOf(Pace(NEVER), Pace(30)), calls = 2, endsMillis = 1_530, isStream = false),
+            Case(
+                "stream before its first event",
+                2,
+                3,
+                listOf(Pace(pauses = listOf(NEVER)), Pace(pauses = listOf(30))),
+                calls = 2,
+                endsMillis = 930,
+            ),
+            Case(
+                "stream after an event",
+                2,
+                3,
+                listOf(Pace(pauses = listOf(30, NEVER)), Pace(pauses = listOf(30))),
+                calls = 2,
+                endsMillis = 860,
+            ),
+            Case(
+                "stream with comments only",
+                2,
+                3,
+                listOf(Pace(pauses = listOf(30, NEVER), comments = true), Pace(pauses = listOf(30))),
+                calls = 2,
+                endsMillis = 860,
+            ),
+            Case(
+                "stream, an upstream becomes free later",
+                2,
+                3,
+                listOf(Pace(pauses = listOf(30, NEVER)), Pace(pauses = listOf(30))),
+                calls = 2,
+                endsMillis = 1_560,
+                freeFromMillis = 1_500,
+            ),
+            Case(
+                "silent to the deadline",
+                2,
+                1,
+                listOf(Pace(pauses = listOf(30, NEVER))),
+                calls = 1,
+                endsMillis = 4_000,
+                result = "200 aborted",
+            ),
+        ).map(::test)
+
+    private fun test(case: Case): DynamicTest =
+        dynamicTest(case.name) {
+            runTest {
+                val client = PacedClient(case.paces, case.isStream)
+                val route =
+                    testRoute(
+                        "/slow/",
+                        if (case.isStream) RouteKind.STREAM else RouteKind.IDEMPOTENT,
+                        resumable = case.isStream,
+                        attempts = case.attempts,
+                        timeout = case.timeout,
+                    ).copy(latencyTarget = 600.milliseconds, eventIntervalTarget = 400.milliseconds)
+                val fixture =
+                    ForwardingFixture(
+                        client,
+                        testConfiguration(listOf(route)),
+                        List(case.upstreams) { testUpstream("u${it + 1}") },
+                        RetryLimit(0.0, 10_000, fixed = 2 * case.retries),
+                        placementFreeFrom(case.freeFromMillis) { currentTime },
+                    )
+                val response = fixture.send("/slow/x", arrivedAt = testTimeSource.markNow())
+                expectThat(response.result).isEqualTo(case.result)
+                expectThat(client.calls).describedAs("calls").isEqualTo(case.calls)
+                expectThat(currentTime).describedAs("end").isEqualTo(case.endsMillis)
+            }
+        }
+
+    /** Selects the first upstream at any time, and another one from [freeFromMillis] on. */
+    private fun placementFreeFrom(freeFromMillis: Long, nowMillis: () -> Long) =
+        object : Placement {
+            override fun choose(request: PlacementRequest, view: DirectoryView): PlacementResult =
+                if (request.excluded.isNotEmpty() && nowMillis() < freeFromMillis) {
+                    PlacementResult.Rejected("full", 100.milliseconds)
+                } else {
+                    firstUntriedPlacement.choose(request, view)
+                }
+        }
+}
