List the platform when a watch cannot succeed

Cause: the response to a watch has every version since its revision and exceeded the limit of 4 MB; the same watch was repeated until the store had dropped its history.

PlatformCallSequence follows a watch whose response is too large, malformed or not complete in time with a listing, and one that does not help with a delay.

--- a/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
@@ -73,8 +73,11 @@
      */
     public class Compacted(detail: String) : FeedError(detail)
 
-    /** The response could not be decoded. */
+    /** The response could not be decoded, or exceeds its limit. */
     public class Malformed(detail: String) : FeedError(detail)
+
+    /** The response began and did not end in time. */
+    public class Incomplete(detail: String) : FeedError(detail)
 }
 
 /** A source of items: the platform itself, or a peer that relays the items that it has read. */
--- a/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
@@ -1,6 +1,6 @@
 /*
  * Keeps the directory up to date from the platform while this gateway is one of its readers: lists once, then watches,
- * and lists again when the platform no longer holds the changes since the last revision.
+ * and lists again when the changes since the last revision cannot be received.
  */
 package org.primrosesill.gateway
 
@@ -18,35 +18,26 @@
     private val directory: DirectoryManager,
     private val readsPlatform: () -> Boolean,
 ) {
-    private var revisionCompacted = false
-
-    /** Whether the last listing was made because the revision was compacted, and no watch has succeeded since. */
-    private var listedAfterCompaction = false
+    private val sequence = PlatformCallSequence()
     private var retryDelay = INITIAL_RETRY_DELAY
 
     suspend fun run(): Nothing {
         while (true) {
-            when {
-                revisionCompacted -> handleResult(list())
-                !readsPlatform() -> delay(READER_CHECK_INTERVAL)
-                directory.revision == PlatformRevision.NONE -> handleResult(list())
-                else -> handleResult(watch())
+            when (sequence.next(directory.revision, readsPlatform())) {
+                null -> delay(READER_CHECK_INTERVAL)
+                PlatformCall.LIST -> handleResult(PlatformCall.LIST, list())
+                PlatformCall.WATCH -> handleResult(PlatformCall.WATCH, watch())
             }
         }
     }
 
-    private suspend fun handleResult(error: FeedError?) {
-        when (error) {
-            null -> if (!listedAfterCompaction) retryDelay = INITIAL_RETRY_DELAY
-            is FeedError.Compacted -> {
-                revisionCompacted = true
-                // A listing that did not help is not repeated at once, as the platform has a limited rate of calls.
-                if (listedAfterCompaction) backOff()
-            }
-            else -> {
-                directory.recordPlatformFailure(error)
-                backOff()
-            }
+    private suspend fun handleResult(call: PlatformCall, error: FeedError?) {
+        sequence.record(call, error)
+        if (error != null && error !is FeedError.Compacted) directory.recordPlatformFailure(error)
+        if (sequence.needsDelay) {
+            backOff()
+        } else if (call == PlatformCall.WATCH && error == null) {
+            retryDelay = INITIAL_RETRY_DELAY
         }
     }
 
@@ -59,8 +50,6 @@
         feed.list().fold({ it }, { listing ->
             directory.recordPlatformResponse()
             directory.applyListing(listing, SOURCE)
-            listedAfterCompaction = revisionCompacted
-            revisionCompacted = false
             null
         })
 
@@ -69,7 +58,6 @@
         return feed.watch(since, WATCH_TIMEOUT).fold({ it }, { changes ->
             directory.recordPlatformResponse()
             directory.applyChanges(since, changes, SOURCE)
-            listedAfterCompaction = false
             if (changes.items.isNotEmpty()) delay(BATCHING_DELAY)
             null
         })
--- a/src/main/kotlin/org/primrosesill/platform/PlatformRequests.kt
+++ b/src/main/kotlin/org/primrosesill/platform/PlatformRequests.kt
@@ -36,6 +36,7 @@
         when (failure) {
             is FetchFailure.Unavailable -> FeedError.Unavailable(failure.reason)
             is FetchFailure.TooLarge -> FeedError.Malformed(failure.reason)
+            is FetchFailure.Incomplete -> FeedError.Incomplete(failure.reason)
         }
     }
 }
--- a/src/main/kotlin/org/primrosesill/request/BoundedFetch.kt
+++ b/src/main/kotlin/org/primrosesill/request/BoundedFetch.kt
@@ -35,6 +35,9 @@
     class Unavailable(reason: String) : FetchFailure(reason)
 
     class TooLarge : FetchFailure("the response is too large")
+
+    /** The response began and did not end in time. */
+    class Incomplete(reason: String) : FetchFailure(reason)
 }
 
 /** Sends a GET request for [path] to [address], and returns the complete response. */
@@ -58,7 +61,7 @@
         )
     val result =
         withTimeoutOrNull(limits.totalTimeout) { exchange(call) { receiveBody(it, limits) } }
-            ?: return FetchFailure.Unavailable("the response was incomplete after ${limits.totalTimeout}").left()
+            ?: return FetchFailure.Incomplete("the response was incomplete after ${limits.totalTimeout}").left()
     return when (result) {
         is ExchangeResult.Responded -> result.value
         is ExchangeResult.NotSent -> FetchFailure.Unavailable(result.reason).left()
--- a/src/test/kotlin/org/primrosesill/platform/StoreEraTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreEraTest.kt
@@ -85,5 +85,6 @@
             is FeedError.Unavailable -> "Unavailable"
             is FeedError.Compacted -> "Compacted"
             is FeedError.Malformed -> "Malformed"
+            is FeedError.Incomplete -> "Incomplete"
         }
 }
