--- a/src/test/kotlin/org/primrosesill/discovery/RelayedChangesTest.kt
+++ b/src/test/kotlin/org/primrosesill/discovery/RelayedChangesTest.kt
@@ -1,6 +1,6 @@
 /*
  * Directories that relay the changes of a store to each other, in random orders of writes, listings, watches, pages,
- * announcements, restarts, compactions and restorations. Once all have caught up, each has what the store has.
+ * announcements, restarts and compactions. Once all have caught up, each has what the store has.
  */
 package org.primrosesill.discovery
 
@@ -54,7 +54,6 @@
     }
 }
 
-/** @property reportsSpans whether directories report since when they have recorded all changes, as earlier versions don't */
 private class RandomFleet(private val random: Random, private val case: RelayCase) {
     private val store = RandomStore(random)
     private val directories = Array(DIRECTORIES) { UpstreamDirectory(TextItemDecoder) }
@@ -138,6 +137,7 @@
     }
 }
 
+/** @property reportsSpans whether directories report since when they have recorded all changes; earlier versions do not */
 private class RelayCase(
     val name: String,
     val restarts: Boolean,
