Leave a stalled upstream only when a move is worth its cost

Cause: the limit of twice the interval target was reason enough to leave an upstream whenever another attempt could follow. The second engine pauses as the first did, so the move adds a prefill and a pause and gains nothing. The record shows each stream leave 0.8 s into a pause of 1.0 s and pause again elsewhere. Ruled out: the stop (the same without it), the retry budget and the placement.

StalledWait compares the two. A request leaves at the limit if its upstream has sent nothing for any request while most others of the pool responded without a pause. Otherwise it stays while the time left bears another pause as long as this one, and moves at the last such moment. A hanging upstream is so still left in time, since a move that is made then ends before the deadline even if the next upstream pauses too.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -120,7 +120,8 @@
                 AttemptInProgress(
                     placement.upstream,
                     { prompt.markPrefilled(context) },
-                    replacement(context, placement, allowance),
+                    context.timeLeft(),
+                    replacement(context, placement.upstream.id, allowance),
                 )
             val result = exchange(context, placement, attempt, callerResponse)
             if (result !is ExchangeResult.Responded) activity.recordConnectionFailure(upstream)
@@ -137,17 +138,21 @@
         }
     }
 
-    /** Returns what reserves the attempt that replaces the one at [placement], or null if none may follow it. */
+    /** Returns what reserves the attempt that replaces the one at [upstream], or null if none may follow it. */
     private fun replacement(
         context: RequestContext,
-        placement: PlacementResult.Chosen,
+        upstream: UpstreamId,
         allowance: AttemptAllowance,
-    ): (() -> Boolean)? =
-        if (allowance.allowsReplacement) {
-            { crashingPromptFailure(context) == null && allowance.reserveAfter(placement.upstream.id) }
-        } else {
-            null
+    ): AttemptReplacement? {
+        if (!allowance.allowsReplacement) return null
+        return AttemptReplacement { limit, waited, startupTime ->
+            val pool = dependencies.view().upstreams[context.pool].orEmpty()
+            val isSilent = dependencies.activity.isSilentUnlikeOthers(upstream, pool.map { it.id }, waited)
+            StalledWait(limit, waited, context.timeLeft(), startupTime, isSilent).shouldLeave() &&
+                crashingPromptFailure(context) == null &&
+                allowance.reserveAfter(upstream)
         }
+    }
 
     /** Returns the result of the call, or null if it was given up before its response began. */
     private suspend fun exchange(
@@ -156,12 +161,20 @@
         attempt: AttemptInProgress,
         callerResponse: OutboundResponse,
     ): ExchangeResult<AttemptOutcome>? {
-        val giveUp =
-            attempt.giveUp ?: return dependencies.client.exchange(upstreamCall(context, placement)) {
+        val replacement =
+            attempt.replacement ?: return dependencies.client.exchange(upstreamCall(context, placement)) {
                 relay.relay(context, attempt, it, callerResponse)
             }
-        return awaitUnlessStalled(StallLimit(responseTimeout(context.route), giveUp), measuresAtOnce = false) { timer ->
-            dependencies.client.exchange(upstreamCall(context, placement, onSent = timer::start)) {
+        val limit = responseTimeout(context.route)
+        var sentWith = context.timeLeft()
+        val stallLimit =
+            StallLimit(limit) { replacement.reserve(limit, sentWith - context.timeLeft(), Duration.ZERO) }
+        return awaitUnlessStalled(stallLimit, measuresAtOnce = false) { timer ->
+            val onSent = {
+                sentWith = context.timeLeft()
+                timer.start()
+            }
+            dependencies.client.exchange(upstreamCall(context, placement, onSent)) {
                 timer.stop()
                 relay.relay(context, attempt, it, callerResponse)
             }
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -5,19 +5,34 @@
 
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.Failure
+import kotlin.time.Duration
 
 /**
  * An attempt whose outcome is not known yet.
  *
  * @property onPromptPrefilled called on the first event of a stream
- * @property giveUp reserves the attempt that replaces this one and returns whether there is one; null if none may follow
+ * @property startedWith time until the deadline of the request when the attempt began
+ * @property replacement reserves the attempt that replaces this one; null if none may follow
  */
 internal class AttemptInProgress(
     val upstream: KnownUpstream,
     val onPromptPrefilled: () -> Unit,
-    val giveUp: (() -> Boolean)?,
+    val startedWith: Duration,
+    val replacement: AttemptReplacement?,
 )
 
+/** Replaces an attempt in progress by one at another upstream. */
+internal fun interface AttemptReplacement {
+    /**
+     * Reserves the next attempt if the request should leave its upstream, which has sent nothing for [waited]. Returns whether
+     * it did.
+     *
+     * @param startupTime time from the start of the attempt to the latest stage that it has reached: the head of the response
+     *     or the first event
+     */
+    fun reserve(limit: Duration, waited: Duration, startupTime: Duration): Boolean
+}
+
 /** The names of the subclasses are values of the `result` label of the attempt metric. */
 internal sealed interface AttemptOutcome {
     /** Text for the event log. */
--- a/src/main/kotlin/org/primrosesill/forwarding/StallTimer.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StallTimer.kt
@@ -18,14 +18,13 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * The limit of one wait.
  *
  * @property limit time after which the wait may be given up
  * @property giveUp acquires what is needed to continue without the wait and returns whether it succeeded. It is called again
- *     from time to time while it fails.
+ *     every [MOVE_CHECK_INTERVAL] while it fails, as a place at another upstream or a retry may become free at any time.
  */
 internal class StallLimit(val limit: Duration, val giveUp: () -> Boolean)
 
@@ -42,7 +41,7 @@
         job =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 delay(limit.limit)
-                while (!limit.giveUp()) delay(GIVE_UP_INTERVAL)
+                while (!limit.giveUp()) delay(MOVE_CHECK_INTERVAL)
                 onGivenUp()
             }
     }
@@ -51,11 +50,6 @@
     fun stop() {
         job?.cancel()
     }
-
-    private companion object {
-        /** A place at another upstream or a retry of the budget may become free at any time. */
-        val GIVE_UP_INTERVAL = 100.milliseconds
-    }
 }
 
 /**
--- a/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
@@ -27,6 +27,9 @@
     private val resumed = callerResponse.started
     private var eventCount = 0
 
+    /** Time from the start of the attempt to the head of its response and, once there is one, to its first event. */
+    private var startupTime = attempt.startedWith - context.timeLeft()
+
     suspend fun relay(): AttemptOutcome =
         try {
             relayParts()
@@ -50,7 +53,10 @@
      */
     private suspend fun relayEvents(part: StreamPart.Events): AttemptOutcome? {
         dependencies.activity.recordData(upstream.id)
-        if (eventCount == 0) attempt.onPromptPrefilled()
+        if (eventCount == 0) {
+            attempt.onPromptPrefilled()
+            startupTime = attempt.startedWith - context.timeLeft()
+        }
         if (!callerResponse.started) {
             dependencies.metrics.responseStarted(context.pool, context.request.arrivedAt.elapsedNow())
         }
@@ -108,14 +114,17 @@
     }
 
     /**
-     * Returns the next part. A stream that can be resumed leaves a stalled upstream as soon as another attempt can follow;
-     * until then it waits on, as the upstream may be sound and slow.
+     * Returns the next part. A stream that can be resumed leaves a stalled upstream when a move is worth its cost and another
+     * attempt can follow; until then it waits on, as the upstream may be sound and slow.
      */
     private suspend fun nextPart(): StreamPart {
-        val giveUp = attempt.giveUp ?: return reader.next(context.timeLeft())
+        val timeLeft = context.timeLeft()
+        val replacement = attempt.replacement ?: return reader.next(timeLeft)
         val limit = if (eventCount > 0) streamIdleTimeout(context.route) else responseTimeout(context.route)
-        return awaitUnlessStalled(StallLimit(limit, giveUp), measuresAtOnce = true) {
-            reader.next(context.timeLeft())
+        val stallLimit =
+            StallLimit(limit) { replacement.reserve(limit, timeLeft - context.timeLeft(), startupTime) }
+        return awaitUnlessStalled(stallLimit, measuresAtOnce = true) {
+            reader.next(timeLeft)
         } ?: StreamPart.Interrupted("no event received for $limit")
     }
 
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
+++ b/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
@@ -7,6 +7,7 @@
 import org.primrosesill.model.UpstreamId
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.exp
+import kotlin.time.Duration
 
 /**
  * Confined to the traffic thread, except for [inFlight], [inFlightByUpstream] and the functions on silence: [isSilent],
@@ -47,6 +48,22 @@
         return records.entries.filter { it.value.isSilent(now) }.mapTo(HashSet()) { it.key }
     }
 
+    /**
+     * Returns whether [upstream] has sent nothing in the second half of a wait that has lasted for [waited], while most of the
+     * upstreams in [pool] with requests of this router responded without such a pause. Upstreams that all pause at the same
+     * time probably have a common cause, such as a wave of long prompts, which a move to another one does not avoid. One that
+     * has just resumed counts as paused, as the others can be expected to follow.
+     */
+    public fun isSilentUnlikeOthers(upstream: UpstreamId, pool: Collection<UpstreamId>, waited: Duration): Boolean {
+        val now = nowMillis()
+        val pause = waited.inWholeMilliseconds / 2
+        if (records[upstream]?.hasSentSince(now - pause) ?: false) return false
+        val others = pool.mapNotNull { other -> records[other]?.takeIf { other != upstream } }
+        val paused = others.count { it.isWaitedForSince(now - pause) || it.hasPaused(pause, since = now - 2 * pause) }
+        val responding = others.count { it.hasSentSince(now - pause) && !it.hasPaused(pause, since = now - 2 * pause) }
+        return responding > paused
+    }
+
     /** Returns whether [upstream] has sent anything within [SILENCE_MILLIS]. */
     public fun hasRecentData(upstream: UpstreamId): Boolean =
         records[upstream]?.lastDataAtMillis?.let { nowMillis() - it < SILENCE_MILLIS } ?: false
@@ -54,8 +71,7 @@
     /** Records that [upstream] sent a response head or a stream event. */
     public fun recordData(upstream: UpstreamId) {
         val record = record(upstream)
-        record.lastDataAtMillis = nowMillis()
-        record.silentSinceMillis = nowMillis()
+        record.recordData(nowMillis())
     }
 
     /**
@@ -158,6 +174,28 @@
         private var outcomes = 0.0
         private var decayedAtMillis = 0L
 
+        /** The last silence of at least [PAUSE_MILLIS] with requests in flight. */
+        private var pauseMillis = 0L
+        private var pauseEndedAtMillis = 0L
+
+        fun recordData(nowMillis: Long) {
+            val silentForMillis = nowMillis - silentSinceMillis
+            if (inFlight > 0 && silentForMillis >= PAUSE_MILLIS) {
+                pauseMillis = silentForMillis
+                pauseEndedAtMillis = nowMillis
+            }
+            lastDataAtMillis = nowMillis
+            silentSinceMillis = nowMillis
+        }
+
+        /** Returns whether a silence of at least [millis] has ended after [since]. */
+        fun hasPaused(millis: Long, since: Long): Boolean = pauseMillis >= millis && pauseEndedAtMillis >= since
+
+        fun hasSentSince(atMillis: Long): Boolean = lastDataAtMillis?.let { it >= atMillis } ?: false
+
+        /** Returns whether requests have been waiting for data from the upstream since [atMillis] or longer. */
+        fun isWaitedForSince(atMillis: Long): Boolean = inFlight > 0 && silentSinceMillis <= atMillis
+
         fun isSilent(nowMillis: Long): Boolean =
             inFlight > 0 &&
                 nowMillis - silentSinceMillis in SILENCE_MILLIS..SILENCE_MILLIS + SILENCE_DURATION_MILLIS
@@ -188,6 +226,9 @@
 
         /** Time within which the traffic thread processes the input of all connections that were closed at once. */
         const val SIMULTANEOUS_READS_MILLIS = 10L
+
+        /** Longer than an upstream that is not paused takes between two responses. */
+        const val PAUSE_MILLIS = 200L
         const val ZONE_RESPONSE_MILLIS = 700L
 
         /** Longer than a heavily loaded upstream takes to send something for one of its requests. */
