Read load reports with four figures, and name what gossip will carry

Some upstreams report a fourth figure: how long work takes there now. The parser accepted three figures and dropped all others without a log line or a metric, so that in a fleet of 28 gateways all placements were made without any known load. Reports with three or four figures are read now, each figure is bounded, and a report that cannot be read is counted (primrosesill.load.reports) and logged at most once in 10 s.

Gossip carries the waiting requests and the slowness beside the load, one character each, and nothing where both are unknown. What is known of an upstream moves from placement/ to the package load/, unchanged.

--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -11,6 +11,9 @@
 import kotlinx.coroutines.CancellationException
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
+import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.model.Failure
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.PoolId
@@ -18,9 +21,6 @@
 import org.primrosesill.placement.CrashingParts
 import org.primrosesill.placement.Placement
 import org.primrosesill.placement.PromptCacheIndex
-import org.primrosesill.placement.UpstreamActivity
-import org.primrosesill.placement.UpstreamLoads
-import org.primrosesill.placement.UpstreamNotices
 import org.primrosesill.request.BufferBudget
 import org.primrosesill.request.UpstreamClient
 import org.primrosesill.route.ClientAccount
--- a/src/main/kotlin/org/primrosesill/forwarding/ForwardingMetrics.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ForwardingMetrics.kt
@@ -19,6 +19,9 @@
 
     /** Counts an attempt at an upstream. */
     public fun attempted(pool: PoolId, result: String)
+
+    /** Counts a response with a report of its upstream's load. */
+    public fun loadReported(isReadable: Boolean)
 }
 
 /** Records nothing. */
@@ -28,4 +31,6 @@
     override fun responseStarted(pool: PoolId, delay: Duration): Unit = Unit
 
     override fun attempted(pool: PoolId, result: String): Unit = Unit
+
+    override fun loadReported(isReadable: Boolean): Unit = Unit
 }
--- a/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ForwardingProtocol.kt
@@ -3,13 +3,13 @@
  */
 package org.primrosesill.forwarding
 
+import org.primrosesill.load.LoadReport
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.HeaderField
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.RequestId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.Prompt
-import org.primrosesill.placement.ReportedLoad
 import org.primrosesill.request.HeadMatch
 import org.primrosesill.request.UpstreamResponse
 import kotlin.time.Duration
@@ -46,7 +46,7 @@
     public val signed: Boolean,
     public val notRun: Boolean,
     public val otherIncarnation: Boolean,
-    public val load: ReportedLoad?,
+    public val load: LoadReport?,
     public val contentEncoded: Boolean,
     public val leaving: Boolean,
     public val retryDelay: Duration?,
--- a/src/main/kotlin/org/primrosesill/forwarding/PlatformAdapter.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/PlatformAdapter.kt
@@ -15,6 +15,9 @@
     public val protocol: ForwardingProtocol
     public val itemDecoder: PlatformItemDecoder
 
+    /** Returns whether the platform's [features] require gateways to schedule by the loads of upstreams. */
+    public fun requiresLoadAwareScheduling(features: List<String>): Boolean = false
+
     /** Path at which the platform probes the readiness of this process. */
     public val readinessPath: String
 
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -7,14 +7,20 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.LoadReport
+import org.primrosesill.load.MalformedLoad
+import org.primrosesill.load.ReportedLoad
+import org.primrosesill.model.UpstreamId
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.UpstreamBody
 import org.primrosesill.request.UpstreamResponse
 import org.primrosesill.route.RouteKind
 import java.io.ByteArrayOutputStream
+import kotlin.time.Duration.Companion.seconds
 
 internal class ResponseRelay(private val dependencies: ForwarderDependencies) {
     private val protocol = dependencies.protocol
+    private val malformedLoads = EventLimit(MALFORMED_LOAD_EVENT_INTERVAL)
 
     suspend fun relay(
         context: RequestContext,
@@ -26,7 +32,7 @@
         val metadata = protocol.parse(response.status, response.headers)
         dependencies.activity.recordZoneResponse(upstream.registration.availabilityZone)
         dependencies.activity.recordData(upstream.id)
-        metadata.load?.let { dependencies.loads.recordReported(upstream.id, it.running + it.waiting) }
+        metadata.load?.let { recordLoad(it, upstream.id, context) }
         recordNotices(metadata, upstream, context)
         val success = response.status in SUCCESS_STATUSES
         return when {
@@ -50,6 +56,18 @@
     private fun isEventStream(response: UpstreamResponse): Boolean =
         response.header("Content-Type")?.startsWith(EVENT_STREAM, ignoreCase = true) ?: true
 
+    private fun recordLoad(report: LoadReport, upstream: UpstreamId, context: RequestContext) {
+        dependencies.metrics.loadReported(isReadable = report is ReportedLoad)
+        when (report) {
+            is ReportedLoad -> dependencies.loads.recordReported(upstream, report)
+            is MalformedLoad ->
+                if (malformedLoads.allowsEvent()) {
+                    val cause = "load report cannot be read: '${report.text.take(MAXIMUM_LOGGED_CHARACTERS)}'"
+                    dependencies.events.record(EventType.LOAD_REPORT_MALFORMED, context.metadata.id, upstream, cause)
+                }
+        }
+    }
+
     private fun recordNotices(metadata: ResponseMetadata, upstream: KnownUpstream, context: RequestContext) {
         val requestId = context.metadata.id
         if (metadata.leaving && dependencies.notices.recordLeaving(upstream)) {
@@ -160,6 +178,10 @@
     private companion object {
         val SUCCESS_STATUSES = 200..299
         const val EVENT_STREAM = "text/event-stream"
+        const val MAXIMUM_LOGGED_CHARACTERS = 64
+
+        /** One event names the cause; an upstream whose reports cannot be read sends hundreds of them in a second. */
+        val MALFORMED_LOAD_EVENT_INTERVAL = 10.seconds
         val STATUSES_IMPLYING_NOT_RUN = setOf(408, 421, 429, 503)
         val DEADLINE_PASSED = BodyPart.Truncated("the deadline passed")
 
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -29,6 +29,10 @@
 import org.primrosesill.generated.GatewaySettings
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.load.SilentUpstreams
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
+import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.parseSocketAddress
@@ -39,10 +43,6 @@
 import org.primrosesill.placement.FleetReachability
 import org.primrosesill.placement.PlacementDependencies
 import org.primrosesill.placement.PromptCacheIndex
-import org.primrosesill.placement.SilentUpstreams
-import org.primrosesill.placement.UpstreamActivity
-import org.primrosesill.placement.UpstreamLoads
-import org.primrosesill.placement.UpstreamNotices
 import org.primrosesill.placement.fleetPlacement
 import org.primrosesill.transport.ListenerLimits
 import org.primrosesill.transport.TrafficLoop
@@ -244,8 +244,12 @@
             fleet = { fleetView.get().reachability },
             onHighLoad = { controlScope.launch { exchangeLoop.broadcastRequestCounts() } },
             nowMillis = ::monotonicMillis,
+            isLoadAware = ::isLoadAware,
         )
 
+    private fun isLoadAware(): Boolean =
+        settings.loadAwareScheduling || adapter.requiresLoadAwareScheduling(settings.platformFeatures)
+
     private companion object {
         val CONNECT_TIMEOUT = 200.milliseconds
     }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayMetrics.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayMetrics.kt
@@ -45,6 +45,9 @@
     override fun attempted(pool: PoolId, result: String) =
         registry.counter("primrosesill.attempts", "pool", pool.value, "result", result).increment()
 
+    override fun loadReported(isReadable: Boolean) =
+        registry.counter("primrosesill.load.reports", "result", if (isReadable) "read" else "malformed").increment()
+
     override fun connectionAttempted() = registry.counter("primrosesill.connections.opened").increment()
 
     /** Returns all metrics in the Prometheus text format. */
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayStatus.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayStatus.kt
@@ -10,8 +10,8 @@
 import org.primrosesill.generated.RouterStatus
 import org.primrosesill.generated.UpstreamState
 import org.primrosesill.generated.UpstreamStatus
-import org.primrosesill.placement.LoadEstimate
-import org.primrosesill.placement.UpstreamLoads
+import org.primrosesill.load.LoadEstimate
+import org.primrosesill.load.UpstreamLoads
 
 /** Returns the status of a gateway with these components. Called on the control thread. */
 internal fun gatewayStatus(
--- a/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
@@ -10,24 +10,24 @@
 import org.primrosesill.exchange.shortNumber
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.HeldParts
+import org.primrosesill.load.LoadObservation
+import org.primrosesill.load.ReportId
+import org.primrosesill.load.SilenceChanges
+import org.primrosesill.load.SilenceReport
+import org.primrosesill.load.SilentUpstreams
+import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.CompletionReport
 import org.primrosesill.placement.CrashEvidence
 import org.primrosesill.placement.CrashReport
 import org.primrosesill.placement.CrashingParts
-import org.primrosesill.placement.LoadObservation
 import org.primrosesill.placement.PART_CODE_LENGTH
 import org.primrosesill.placement.PartBlockChange
 import org.primrosesill.placement.PartCode
 import org.primrosesill.placement.PartsByEngine
 import org.primrosesill.placement.PromptCacheIndex
 import org.primrosesill.placement.PromptPartId
-import org.primrosesill.placement.ReportId
-import org.primrosesill.placement.SilenceChanges
-import org.primrosesill.placement.SilenceReport
-import org.primrosesill.placement.SilentUpstreams
-import org.primrosesill.placement.UpstreamLoads
 import org.primrosesill.placement.partCode
 
 /** Confined to the control thread; the tables that it reads and updates are safe to use from any thread. */
@@ -57,6 +57,8 @@
             silentUpstreams = silentUpstreams.reports().joinToString("", transform = ::encode),
             observedLoads = observations.joinToString("", transform = ::encode),
             observedReports = observations.joinToString("") { shortNumber(it.reportNumber, REPORT_LENGTH) },
+            observedSlowness = encodeSlowness(observations),
+            observedWaiting = encodeWaiting(observations),
             heldParts = if (parts.isEmpty()) null else heldPartsOf(parts),
         )
     }
@@ -181,7 +183,11 @@
     private fun observationsIn(message: ExchangeMessage): List<LoadObservation> {
         val reports = message.observedReports.chunked(REPORT_LENGTH)
         return message.observedLoads.chunked(LOAD_ENTRY_LENGTH).mapIndexedNotNull { index, entry ->
-            decodeLoad(entry)?.copy(report = reports.getOrNull(index)?.let(::decodeReport))
+            decodeLoad(entry)?.copy(
+                report = reports.getOrNull(index)?.let(::decodeReport),
+                waiting = decodeWaiting(message.observedWaiting, index),
+                slowness = decodeSlowness(message.observedSlowness, index),
+            )
         }
     }
 
--- a/src/main/kotlin/org/primrosesill/gateway/UpstreamStateReconciler.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/UpstreamStateReconciler.kt
@@ -5,11 +5,11 @@
 package org.primrosesill.gateway
 
 import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.ColdStartBudget
 import org.primrosesill.placement.PromptCacheIndex
-import org.primrosesill.placement.UpstreamActivity
-import org.primrosesill.placement.UpstreamLoads
 
 /** Confined to the traffic thread. */
 internal class UpstreamStateReconciler(
--- a/src/main/kotlin/org/primrosesill/placement/SilentUpstreams.kt
+++ b/src/main/kotlin/org/primrosesill/load/SilentUpstreams.kt
@@ -7,7 +7,7 @@
  * Load pattern: some engines of a large pool accept requests and never respond, while their directory entries and health
  * checks are good.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.UpstreamId
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamActivity.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamActivity.kt
@@ -1,7 +1,7 @@
 /*
  * The requests that this router has in flight at each upstream, and the recent outcomes that it has observed there.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.UpstreamId
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamLoads.kt
@@ -7,7 +7,7 @@
  * Load pattern: engines of a large pool are replaced while hundreds of requests a second arrive at as many routers, each of
  * which has only a few requests of its own at any engine.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import com.dynatrace.hash4j.hashing.Hashing
 import org.primrosesill.model.RouterId
@@ -30,12 +30,16 @@
  *
  * @property ageMillis at least; the time that a message waits to be read is not included
  * @property report null if a router of an earlier release has relayed the report
+ * @property waiting the part of [load] that was waiting, or null if it is unknown
+ * @property slowness time that work took, relative to the usual time, or null if it is unknown
  */
 public data class LoadObservation(
     public val upstream: UpstreamId,
     public val load: Int,
     public val ageMillis: Long,
     public val report: ReportId? = null,
+    public val waiting: Int? = null,
+    public val slowness: Double? = null,
 )
 
 /** Where the estimate of an upstream's load comes from. */
@@ -55,8 +59,14 @@
  *
  * @property inFlight the expected number of requests in flight, rounded, as smaller differences say nothing
  * @property ageMillis age of the report, or 0 if the estimate does not come from one
+ * @property waiting the requests that were waiting when the upstream last reported, or null if that is unknown
  */
-public data class LoadEstimate(public val inFlight: Int, public val source: LoadSource, public val ageMillis: Long) {
+public data class LoadEstimate(
+    public val inFlight: Int,
+    public val source: LoadSource,
+    public val ageMillis: Long,
+    public val waiting: Int? = null,
+) {
     /** Text for the event log. */
     public val description: String
         get() {
@@ -169,7 +179,8 @@
         val ageMillis = nowMillis() - report.atMillis
         val difference = currentLoad(upstream, report) - report.average
         val expected = report.average + difference * exp(-ageMillis / LOAD_TIME_CONSTANT_MILLIS)
-        return LoadEstimate(maxOf(own, expected.roundToInt()), LoadSource.REPORT, ageMillis)
+        val waiting = report.observation.waiting
+        return LoadEstimate(maxOf(own, expected.roundToInt()), LoadSource.REPORT, ageMillis, waiting)
     }
 
     /** Returns the load of [upstream] that was [reported], plus the requests that this router has sent since. */
@@ -178,10 +189,12 @@
         return maxOf(own, reported.load + (own - reported.ownInFlight).coerceAtLeast(0))
     }
 
-    /** Records the [load] that [upstream] reported in a response to this router. */
-    public fun recordReported(upstream: UpstreamId, load: Int) {
+    /** Records the load that [upstream] reported in a response to this router. */
+    public fun recordReported(upstream: UpstreamId, reported: ReportedLoad) {
         val now = nowMillis()
-        put(LoadObservation(upstream, load, ageMillis = 0, newReportId(load, now)), now)
+        val load = reported.running + reported.waiting
+        val report = newReportId(load, now)
+        put(LoadObservation(upstream, load, ageMillis = 0, report, reported.waiting, reported.slowness), now)
     }
 
     @Synchronized
@@ -203,7 +216,7 @@
         val now = nowMillis()
         return reportedLoads
             .filterValues { now - it.atMillis < FORWARDING_MILLIS }
-            .map { (upstream, value) -> LoadObservation(upstream, value.load, now - value.atMillis, value.report) }
+            .map { (_, value) -> value.observation.copy(ageMillis = now - value.atMillis) }
     }
 
     /**
@@ -248,10 +261,11 @@
         val previous = reportedLoads[upstream]
         if (previous != null && previous.atMillis >= atMillis) return
         // A copy only looks newer, as the time that messages wait to be read is not in its age.
-        if (previous?.report != null && previous.report == observation.report) return
+        val previousReport = previous?.observation?.report
+        if (previousReport != null && previousReport == observation.report) return
         val average = averageLoad(previous, observation.load, atMillis)
         val own = activity.inFlight(upstream)
-        reportedLoads[upstream] = TimedLoad(observation.load, atMillis, own, average, observation.report)
+        reportedLoads[upstream] = TimedLoad(observation, atMillis, own, average)
     }
 
     /** Returns the exponentially weighted average of the loads up to a report of [load] that follows [previous]. */
@@ -266,12 +280,13 @@
      * @property average the average of the reports up to this one
      */
     private class TimedLoad(
-        val load: Int,
+        val observation: LoadObservation,
         val atMillis: Long,
         val ownInFlight: Int,
         val average: Double,
-        val report: ReportId?,
     ) {
+        val load get() = observation.load
+
         /** The average without the request in whose response each load was reported, which is part of that load. */
         val averageOfOthers get() = (average - 1).coerceAtLeast(0.0)
     }
--- a/src/main/kotlin/org/primrosesill/placement/UpstreamNotices.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamNotices.kt
@@ -5,7 +5,7 @@
  * Load patterns: upstreams that are replaced under load send the notice before the directory lists them as leaving;
  * upstreams at capacity reject requests, and without a pause routers would send them these requests again.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import org.primrosesill.discovery.KnownUpstream
 import kotlin.time.Duration
--- a/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
@@ -9,6 +9,7 @@
 package org.primrosesill.placement
 
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.load.LoadEstimate
 import org.primrosesill.model.AvailabilityZoneId
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -21,6 +22,7 @@
  * @property rank rendezvous hash for the shared parts of the prompt; the same on all routers
  * @property cachedTokens tokens at the beginning of the prompt that the engine has prefilled before
  * @property pendingPrefillTokens prompt tokens of other requests that the engine has yet to prefill
+ * @property slowness time that work takes at the engine at present, relative to the usual time
  */
 internal class EngineCandidate(
     val upstream: KnownUpstream,
@@ -30,6 +32,7 @@
     val cachedTokens: Int,
     val pendingPrefillTokens: Int,
     val failureRate: Double,
+    val slowness: Double = 1.0,
 ) {
     /** Returns this engine as it will be once it has fetched all shared parts that any engine has cached. */
     fun withAllCached(prompt: PromptCostInputs) =
@@ -41,6 +44,7 @@
             maxOf(cachedTokens, prompt.bestCachedTokens),
             pendingPrefillTokens,
             failureRate,
+            slowness,
         )
 }
 
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -5,6 +5,8 @@
 package org.primrosesill.placement
 
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.load.LoadBasis
+import org.primrosesill.load.PoolLoads
 import org.primrosesill.model.UpstreamId
 import java.util.Locale
 
@@ -93,6 +95,7 @@
         cachedTokens = cachedTokens[upstream.id] ?: 0,
         pendingPrefillTokens = activity.pendingPrefillTokens(upstream.id),
         failureRate = activity.failureRate(upstream.id),
+        slowness = dependencies.speeds.slowness(upstream.id),
     )
 
     private fun costInputs(
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -6,6 +6,13 @@
 
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.load.PoolLoads
+import org.primrosesill.load.SilentUpstreams
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
+import org.primrosesill.load.UpstreamNotices
+import org.primrosesill.load.UpstreamSpeeds
+import org.primrosesill.load.UsualSpeeds
 import org.primrosesill.model.AvailabilityZoneId
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -13,6 +20,7 @@
 /**
  * The dependencies of a placement.
  *
+ * @property isLoadAware whether what is known of the speed, the queues and the recent requests of upstreams is used
  * @property onHighLoad called when the chosen engine is so close to its load bound that routers should exchange their
  *     request counts at once instead of in the next exchange round
  */
@@ -28,6 +36,8 @@
     public val onHighLoad: () -> Unit,
     public val nowMillis: () -> Long,
     public val random: Random = Random.Default,
+    public val speeds: UpstreamSpeeds = UsualSpeeds,
+    public val isLoadAware: () -> Boolean = { false },
 )
 
 /** Returns the placement that uses [dependencies]. */
--- a/src/main/kotlin/org/primrosesill/platform/PlatformHeaderProtocol.kt
+++ b/src/main/kotlin/org/primrosesill/platform/PlatformHeaderProtocol.kt
@@ -8,13 +8,15 @@
 import org.primrosesill.forwarding.RequestMetadata
 import org.primrosesill.forwarding.ResponseMetadata
 import org.primrosesill.forwarding.UpstreamRequestMetadata
+import org.primrosesill.load.LoadReport
+import org.primrosesill.load.MalformedLoad
+import org.primrosesill.load.ReportedLoad
 import org.primrosesill.model.HeaderField
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.RequestId
 import org.primrosesill.placement.Prompt
 import org.primrosesill.placement.PromptPart
 import org.primrosesill.placement.PromptPartId
-import org.primrosesill.placement.ReportedLoad
 import org.primrosesill.request.HeadMatch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -170,7 +172,21 @@
         ?.toDouble()
         ?.seconds
 
-private fun parseLoad(text: String): ReportedLoad? {
-    val numbers = text.split(',').map { it.trim().toIntOrNull() ?: return null }
-    return if (numbers.size == 3) ReportedLoad(numbers[0], numbers[1], numbers[2]) else null
+/** Parses `running,waiting,slots`, optionally followed by the percentage of the usual time that work takes. */
+private fun parseLoad(text: String): LoadReport {
+    val numbers = text.split(',', limit = LOAD_FIGURES.last + 2).map { it.trim().toIntOrNull() }
+    if (numbers.size !in LOAD_FIGURES ||
+        numbers.any { it == null || it !in 0..MAXIMUM_LOAD_FIGURE }
+    ) {
+        return MalformedLoad(text)
+    }
+    val (running, waiting, slots) = numbers.filterNotNull()
+    val slownessPercent = numbers.getOrNull(SLOWNESS_INDEX)
+    if (slots == 0 || slownessPercent == 0) return MalformedLoad(text)
+    return ReportedLoad(running, waiting, slots, slownessPercent?.div(PERCENT))
 }
+
+private val LOAD_FIGURES = 3..4
+private const val SLOWNESS_INDEX = 3
+private const val MAXIMUM_LOAD_FIGURE = 100_000
+private const val PERCENT = 100.0
--- a/src/test/kotlin/org/primrosesill/architecture/LayersTest.kt
+++ b/src/test/kotlin/org/primrosesill/architecture/LayersTest.kt
@@ -75,6 +75,7 @@
                 "answer",
                 "route",
                 "discovery",
+                "load",
                 "placement",
             )
     }
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -8,6 +8,9 @@
 import org.primrosesill.discovery.PlatformRevision
 import org.primrosesill.discovery.UpstreamRegistration
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
+import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.HeaderFields
@@ -20,9 +23,6 @@
 import org.primrosesill.placement.Placement
 import org.primrosesill.placement.PlacementResult
 import org.primrosesill.placement.PromptCacheIndex
-import org.primrosesill.placement.UpstreamActivity
-import org.primrosesill.placement.UpstreamLoads
-import org.primrosesill.placement.UpstreamNotices
 import org.primrosesill.platform.platformHeaderProtocol
 import org.primrosesill.request.ScriptedClient
 import org.primrosesill.request.UpstreamClient
--- a/src/test/kotlin/org/primrosesill/forwarding/SlowUpstreamTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/SlowUpstreamTest.kt
@@ -15,12 +15,12 @@
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.model.toHeaderFields
 import org.primrosesill.placement.Placement
 import org.primrosesill.placement.PlacementRequest
 import org.primrosesill.placement.PlacementResult
-import org.primrosesill.placement.UpstreamActivity
 import org.primrosesill.request.BodyPart
 import org.primrosesill.request.ExchangeResult
 import org.primrosesill.request.UpstreamCall
--- a/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/FleetTest.kt
@@ -12,14 +12,14 @@
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.load.SilentUpstreams
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.CrashingParts
 import org.primrosesill.placement.PromptCacheIndex
-import org.primrosesill.placement.SilentUpstreams
-import org.primrosesill.placement.UpstreamActivity
-import org.primrosesill.placement.UpstreamLoads
 import org.primrosesill.platform.usersPlatformAdapter
 import strikt.api.expectThat
 import strikt.assertions.contains
--- a/src/test/kotlin/org/primrosesill/placement/SilentUpstreamsTest.kt
+++ b/src/test/kotlin/org/primrosesill/load/SilentUpstreamsTest.kt
@@ -1,7 +1,7 @@
 /*
  * The detection of silent upstreams and their exclusion from placement.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.forwarding.testUpstream
 import org.primrosesill.model.UpstreamId
+import org.primrosesill.placement.enginePool
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 
--- a/src/test/kotlin/org/primrosesill/placement/UpstreamActivityTest.kt
+++ b/src/test/kotlin/org/primrosesill/load/UpstreamActivityTest.kt
@@ -1,7 +1,7 @@
 /*
  * What the requests of one router show about an upstream that has stopped sending.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
--- a/src/test/kotlin/org/primrosesill/placement/UpstreamLoadsTest.kt
+++ b/src/test/kotlin/org/primrosesill/load/UpstreamLoadsTest.kt
@@ -2,7 +2,7 @@
  * The load that a router computes for an upstream from its own requests, the counts of other routers and the loads that
  * upstreams report.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
@@ -48,7 +48,7 @@
                 case.counts.forEach { (router, count) -> loads.recordCounts(router, mapOf(engine to count)) }
                 activity.recordStart(engine, tokens = 0)
                 now = case.ageMillis
-                loads.recordReported(engine, load = 9)
+                loads.recordReported(engine, ReportedLoad(9, 0, 48))
                 expectThat(loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(case.load)
             }
         }
@@ -64,7 +64,7 @@
     @TestFactory
     fun `an estimate states its source and age`(): List<DynamicTest> =
         listOf(
-            SourceCase("a recent report", 500, small = false, LoadEstimate(9, LoadSource.REPORT, 500)),
+            SourceCase("a recent report", 500, small = false, LoadEstimate(9, LoadSource.REPORT, 500, waiting = 0)),
             SourceCase("an expired report", 3_000, small = false, LoadEstimate(1, LoadSource.NO_REPORT, 0)),
             SourceCase("no report", null, small = false, LoadEstimate(1, LoadSource.NO_REPORT, 0)),
             SourceCase("a small fleet", 500, small = true, LoadEstimate(1, LoadSource.EXCHANGED_COUNTS, 0)),
@@ -76,7 +76,7 @@
                 if (case.small) loads.expectCounts(emptySet())
                 activity.recordStart(engine, tokens = 0)
                 case.reportAgeMillis?.let {
-                    loads.recordReported(engine, load = 9)
+                    loads.recordReported(engine, ReportedLoad(9, 0, 48))
                     now = it
                 }
                 expectThat(loads.estimates(listOf(engine))[engine]).isEqualTo(case.expected)
@@ -102,8 +102,8 @@
             dynamicTest(case.name) {
                 val loads = UpstreamLoads(UpstreamActivity { 0 }) { 0 }
                 loads.expectCounts(case.expected)
-                loads.recordReported(UpstreamId("first"), load = 4)
-                loads.recordReported(UpstreamId("second"), load = 8)
+                loads.recordReported(UpstreamId("first"), ReportedLoad(4, 0, 48))
+                loads.recordReported(UpstreamId("second"), ReportedLoad(8, 0, 48))
                 val estimates = loads.estimates(listOf(UpstreamId("first"), UpstreamId("second"), engine))
                 expectThat(estimates[engine].inFlight).isEqualTo(case.load)
                 expectThat(estimates.averageOf(engine)).isEqualTo(case.average)
@@ -115,7 +115,7 @@
     @Test
     fun `the average load excludes the request with whose response it was reported`() {
         val loads = UpstreamLoads(UpstreamActivity { 0 }) { 0 }
-        loads.recordReported(engine, load = 4)
+        loads.recordReported(engine, ReportedLoad(4, 0, 48))
         val estimates = loads.estimates(listOf(engine))
         expectThat(estimates[engine].inFlight).isEqualTo(4)
         expectThat(estimates.averageOf(engine)).isEqualTo(3.0)
@@ -130,10 +130,10 @@
                 var now = 0L
                 val loads = UpstreamLoads(UpstreamActivity { now }) { now }
                 repeat(20) {
-                    loads.recordReported(engine, load = 2)
+                    loads.recordReported(engine, ReportedLoad(2, 0, 48))
                     now += 1_000
                 }
-                loads.recordReported(engine, load = 11)
+                loads.recordReported(engine, ReportedLoad(11, 0, 48))
                 now += ageMillis
                 expectThat(loads.estimates(listOf(engine))[engine].inFlight).isEqualTo(expected)
             }
@@ -148,7 +148,7 @@
                 var now = 0L
                 val loads = UpstreamLoads(UpstreamActivity { now }) { now }
                 val peer = UpstreamLoads(UpstreamActivity { now }) { now }
-                loads.recordReported(engine, load = 9)
+                loads.recordReported(engine, ReportedLoad(9, 0, 48))
                 for ((sender, recipient) in listOf(loads to peer, peer to loads)) {
                     now += EXCHANGE_MILLIS
                     val message = sender.recentObservations()
--- a/src/test/kotlin/org/primrosesill/placement/UpstreamNoticesTest.kt
+++ b/src/test/kotlin/org/primrosesill/load/UpstreamNoticesTest.kt
@@ -1,7 +1,7 @@
 /*
  * Which upstreams may get a request after the notices in their responses.
  */
-package org.primrosesill.placement
+package org.primrosesill.load
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
--- a/src/test/kotlin/org/primrosesill/placement/EngineSelectionTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/EngineSelectionTest.kt
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.forwarding.testUpstream
+import org.primrosesill.load.LoadEstimate
+import org.primrosesill.load.LoadSource
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.UpstreamId
 import strikt.api.expectThat
--- a/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/FleetPlacementTest.kt
@@ -12,6 +12,11 @@
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.discovery.PlatformRevision
 import org.primrosesill.forwarding.testUpstream
+import org.primrosesill.load.ReportedLoad
+import org.primrosesill.load.SilentUpstreams
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
+import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
@@ -360,8 +365,8 @@
                 val upstreams = List(6) { testUpstream("upstream-$it", enginePool, "a") }
                 val activity = UpstreamActivity { 0 }
                 val loads = UpstreamLoads(activity) { 0 }
-                upstreams.drop(1).forEach { loads.recordReported(it.id, 3) }
-                load?.let { loads.recordReported(upstreams.first().id, it) }
+                upstreams.drop(1).forEach { loads.recordReported(it.id, ReportedLoad(3, 0, 6)) }
+                load?.let { loads.recordReported(upstreams.first().id, ReportedLoad(it, 0, 6)) }
                 val (placement, view) = placementOf(upstreams, FleetReachability(), activity, loads = loads)
                 val chosen = List(PLAIN_REQUESTS) { placement.choose(request, view) as PlacementResult.Chosen }
                 val toFirst = chosen.count { it.upstream.id == upstreams.first().id }
--- a/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
+++ b/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
@@ -13,6 +13,13 @@
 import org.primrosesill.forwarding.testUpstream
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.load.LoadObservation
+import org.primrosesill.load.ReportedLoad
+import org.primrosesill.load.SilenceReport
+import org.primrosesill.load.SilentUpstreams
+import org.primrosesill.load.UpstreamActivity
+import org.primrosesill.load.UpstreamLoads
+import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.PoolId
 import org.primrosesill.model.RouterId
@@ -288,7 +295,7 @@
             after(lateNews.responseDelayMillis(now)) {
                 router.activity.recordPrefillEnd(upstream, chosen.prefillTokens)
                 router.index.recordCached(request.prompt.sharedParts, upstream)
-                router.loads.recordReported(upstream, load)
+                router.loads.recordReported(upstream, ReportedLoad(load, 0, 48))
             }
         }
         for (millis in 0..request.responseMillis step STREAM_EVENT_MILLIS) {
--- a/src/test/kotlin/org/primrosesill/platform/PlatformHeaderProtocolTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/PlatformHeaderProtocolTest.kt
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.TestFactory
 import org.primrosesill.forwarding.InboundRequest
 import org.primrosesill.forwarding.UpstreamRequestMetadata
+import org.primrosesill.load.MalformedLoad
+import org.primrosesill.load.ReportedLoad
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.RequestId
@@ -16,7 +18,6 @@
 import org.primrosesill.model.headerFieldsOf
 import org.primrosesill.placement.PromptPart
 import org.primrosesill.placement.PromptPartId
-import org.primrosesill.placement.ReportedLoad
 import org.primrosesill.request.HeadMatch
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -156,9 +157,40 @@
         expectThat(protocol.parse(503, HeaderFields()).notRun).isEqualTo(false)
         expectThat(protocol.parse(421, HeaderFields()).notRun).isEqualTo(true)
         expectThat(protocol.parse(200, headerFieldsOf("Content-Encoding" to "gzip")).contentEncoded).isEqualTo(true)
-        expectThat(protocol.parse(200, headerFieldsOf("X-Server-Load" to "3,x,8")).load).isNull()
+        expectThat(protocol.parse(200, HeaderFields()).load).isNull()
     }
 
+    // Guards against load reports that are dropped, so that no gateway knows any load, and against figures that no upstream can
+    // have and that would divert all requests.
+    @TestFactory
+    fun `load reports with three or four figures are read`(): List<DynamicTest> =
+        listOf(
+            "3,1,8" to ReportedLoad(3, 1, 8),
+            " 3 , 1 , 8 " to ReportedLoad(3, 1, 8),
+            "3,1,8,100" to ReportedLoad(3, 1, 8, slowness = 1.0),
+            "3,1,8,250" to ReportedLoad(3, 1, 8, slowness = 2.5),
+            "100000,0,1,100000" to ReportedLoad(100_000, 0, 1, slowness = 1_000.0),
+            "3,1" to null,
+            "3,1,8,100,1" to null,
+            "3,x,8" to null,
+            "3,1,8,x" to null,
+            "3,1,8," to null,
+            "" to null,
+            "-1,0,8" to null,
+            "3,1,8,-100" to null,
+            "3,1,0" to null,
+            "3,1,8,0" to null,
+            "100001,0,8" to null,
+            "3,1,8,100001" to null,
+            "99999999999,0,8" to null,
+            "1,".repeat(100_000) to null,
+        ).map { (text, expected) ->
+            dynamicTest("'${text.take(20)}'") {
+                expectThat(protocol.parse(200, headerFieldsOf("X-Server-Load" to text)).load)
+                    .isEqualTo(expected ?: MalformedLoad(text))
+            }
+        }
+
     // Guards against requests to an upstream that sent Retry-After, and against one that is excluded by mistake.
     @TestFactory
     fun `Retry-After is read from a 503 response in seconds`(): List<DynamicTest> =
