Accept the settings of load-aware scheduling

The new test compares the fields that the validator names with the schema; it failed before with platformFeatures and loadAwareScheduling.

--- a/src/main/kotlin/org/primrosesill/contract/GatewaySettingsValidator.kt
+++ b/src/main/kotlin/org/primrosesill/contract/GatewaySettingsValidator.kt
@@ -36,6 +36,8 @@
         Field("coldStartTolerance", boundRule),
         Field("stopGraceMillis", millisRule),
         Field("drainMillis", boundRule),
+        Field("loadAwareScheduling", FlagRule),
+        Field("platformFeatures", ListRule(nameRule, 0..100)),
     )
 
 /** Validates the settings of gateways. */
--- a/src/test/kotlin/org/primrosesill/contract/GatewaySettingsValidatorTest.kt
+++ b/src/test/kotlin/org/primrosesill/contract/GatewaySettingsValidatorTest.kt
@@ -3,10 +3,14 @@
  */
 package org.primrosesill.contract
 
+import kotlinx.serialization.descriptors.elementNames
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
+import org.primrosesill.generated.GatewaySettings
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 
 class GatewaySettingsValidatorTest {
@@ -28,4 +32,26 @@
                 dynamicTest("$name $value") { expectThat(validate("\"$name\":$value").isRight()).isEqualTo(accepted) }
             }
         }
+
+    // Guards against a setting of the schema that no gateway accepts, so that it does not start where the setting is used.
+    @Test
+    fun `every setting of the schema is known`() {
+        val accepted = validate("\"unknown\":1").leftOrNull()!!.joinToString()
+        val settings = GatewaySettings.serializer().descriptor.elementNames
+        expectThat(settings.filterNot { it in accepted }).isEmpty()
+    }
+
+    // Guards against settings that are accepted with values that have no meaning.
+    @TestFactory
+    fun `settings of load-aware scheduling`(): List<DynamicTest> =
+        listOf(
+            "\"loadAwareScheduling\":true" to true,
+            "\"loadAwareScheduling\":\"yes\"" to false,
+            "\"platformFeatures\":[]" to true,
+            "\"platformFeatures\":[\"pool\",\"engine\"]" to true,
+            "\"platformFeatures\":\"pool\"" to false,
+            "\"platformFeatures\":[\"\"]" to false,
+        ).map { (setting, accepted) ->
+            dynamicTest(setting) { expectThat(validate(setting).isRight()).isEqualTo(accepted) }
+        }
 }
