Distribute requests to small services by the response times that all gateways measure

Gateways knew only their own requests at plain upstreams that report no load, mostly none, and sent to the upstream of their zone even if it was slow. They now exchange the requests in progress and the requests per second of each gateway and upstream (gossip field serviceCounts) and distribute requests in inverse proportion to the square of the resulting response time.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -115,6 +115,7 @@
         val activity = dependencies.activity
         val prompt = PendingPrompt(placement)
         activity.recordStart(upstream, placement.prefillTokens)
+        dependencies.services.recordStart(upstream)
         try {
             val attempt =
                 AttemptInProgress(
@@ -135,6 +136,7 @@
         } finally {
             prompt.release()
             activity.recordEnd(upstream)
+            dependencies.services.recordEnd(upstream)
         }
     }
 
@@ -265,6 +267,8 @@
         val cause = "${outcome.description}, attempt took ${duration.inWholeMilliseconds} ms"
         dependencies.events.record(type, context.metadata.id, upstream, cause)
         dependencies.metrics.attempted(context.pool, outcome.javaClass.simpleName)
+        if (outcome is AttemptOutcome.Delivered) dependencies.services.recordCompleted(upstream, duration)
+        if (outcome is AttemptOutcome.NotRun) dependencies.services.recordRejected(upstream)
     }
 
     private companion object {
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CancellationException
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.ServiceConcurrency
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
@@ -56,6 +57,7 @@
     public val buffers: BufferBudget = BufferBudget(),
     public val plannedStop: () -> PlannedStop? = { null },
     public val random: Random = Random.Default,
+    public val services: ServiceConcurrency = ServiceConcurrency(ownCode = "") { 0 },
 )
 
 /** Returns a handler that forwards requests to upstreams. */
--- a/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Fleet.kt
@@ -156,6 +156,7 @@
     fun tick(nowMillis: Long) {
         record(members.tick(nowMillis))
         settledDetector.tick(nowMillis, recentMembers.hasSeenAll(seeds))
+        trafficGossip.retainServiceCounts(others().map { it.router })
         trafficGossip.expectRequestCounts(others().mapTo(HashSet()) { it.router }.takeIf { isSmall() })
     }
 
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -29,6 +29,7 @@
 import org.primrosesill.generated.GatewaySettings
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.load.ServiceConcurrency
 import org.primrosesill.load.SilentUpstreams
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
@@ -85,7 +86,8 @@
     private val self = newMember(settings)
     private val silentUpstreams = SilentUpstreams(shortCode(self.router.value), activity, ::monotonicMillis)
     private val crashingParts = CrashingParts(::monotonicMillis)
-    private val trafficGossip = TrafficGossip(loads, index, silentUpstreams, crashingParts)
+    private val services = ServiceConcurrency(shortCode(self.router.value), ::monotonicMillis)
+    private val trafficGossip = TrafficGossip(loads, index, silentUpstreams, crashingParts, services)
     private val notices = UpstreamNotices({ settings.drainMillis.toLong() }, ::monotonicMillis)
     private val fleetView =
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), isComplete = false), FleetReachability()))
@@ -168,6 +170,7 @@
                 },
                 buffers = trafficLoop.buffers,
                 plannedStop = { plannedStop },
+                services = services,
             ),
         )
 
@@ -193,6 +196,7 @@
         metrics.gauge("buffered.bytes") { trafficLoop.buffers.usedBytes }
         metrics.gauge("prompt.parts.blocked") { crashingParts.blockedCount }
         metrics.gauge("prompt.parts.suspect") { crashingParts.suspectCount }
+        metrics.gauge("service.requests.in.progress") { services.requestsInProgress }
         metrics.gauge("configuration.version") { directory.view.configuration?.version ?: 0 }
     }
 
@@ -245,6 +249,7 @@
             onHighLoad = { controlScope.launch { exchangeLoop.broadcastRequestCounts() } },
             nowMillis = ::monotonicMillis,
             isLoadAware = ::isLoadAware,
+            services = services,
         )
 
     private fun isLoadAware(): Boolean =
--- a/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
@@ -12,6 +12,7 @@
 import org.primrosesill.generated.HeldParts
 import org.primrosesill.load.LoadObservation
 import org.primrosesill.load.ReportId
+import org.primrosesill.load.ServiceConcurrency
 import org.primrosesill.load.SilenceChanges
 import org.primrosesill.load.SilenceReport
 import org.primrosesill.load.SilentUpstreams
@@ -36,11 +37,13 @@
     private val index: PromptCacheIndex,
     private val silentUpstreams: SilentUpstreams,
     private val crashingParts: CrashingParts,
+    private val services: ServiceConcurrency = ServiceConcurrency(ownCode = "") { 0 },
 ) {
     private var upstreamsByCode: Map<String, UpstreamId> = emptyMap()
 
     /** Sets the upstreams whose short codes can be decoded; entries with other codes are ignored. */
     fun updateKnownUpstreams(known: Collection<UpstreamId>) {
+        services.retainUpstreams(known.toSet())
         if (known.size != upstreamsByCode.size || !upstreamsByCode.values.containsAll(known)) {
             upstreamsByCode = known.associateBy { shortCode(it.value) }
         }
@@ -59,6 +62,7 @@
             observedReports = observations.joinToString("") { shortNumber(it.reportNumber, REPORT_LENGTH) },
             observedSlowness = encodeSlowness(observations),
             observedWaiting = encodeWaiting(observations),
+            serviceCounts = encodeServiceCounts(services.uses()),
             heldParts = if (parts.isEmpty()) null else heldPartsOf(parts),
         )
     }
@@ -106,10 +110,15 @@
     /** Sets the gateways that are expected to send their request counts; null in a large fleet, where none do. */
     fun expectRequestCounts(others: Set<RouterId>?) = loads.expectCounts(others)
 
-    /** Applies the loads, silence reports and held parts in [message]. */
+    /** Removes the requests at small services of the gateways that are not among [others]. */
+    fun retainServiceCounts(others: Collection<RouterId>) =
+        services.retainGateways(others.mapTo(HashSet()) { shortCode(it.value) })
+
+    /** Applies the loads, silence reports, requests at small services and held parts in [message]. */
     fun applyMessage(message: ExchangeMessage) {
         loads.merge(observationsIn(message))
         silentUpstreams.addReports(message.silentUpstreams.chunked(SILENCE_ENTRY_LENGTH).mapNotNull(::decodeSilence))
+        services.merge(decodeServiceCounts(message.serviceCounts, upstreamsByCode))
         message.heldParts?.let { index.merge(partsOf(it)) }
     }
 
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -6,7 +6,9 @@
 
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.load.LoadBasis
 import org.primrosesill.load.PoolLoads
+import org.primrosesill.load.ServiceConcurrency
 import org.primrosesill.load.SilentUpstreams
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
@@ -38,6 +40,7 @@
     public val random: Random = Random.Default,
     public val speeds: UpstreamSpeeds = UsualSpeeds,
     public val isLoadAware: () -> Boolean = { false },
+    public val services: ServiceConcurrency = ServiceConcurrency(ownCode = "", nowMillis),
 )
 
 /** Returns the placement that uses [dependencies]. */
@@ -70,8 +73,8 @@
             request.prompt?.let {
                 val pool = view.upstreams.getValue(request.pool)
                 engines.choose(request, it, candidates, fetchSources(request, view, fleet), pool)
-            } ?: PlacementResult.Chosen(leastLoaded(candidates))
-        dependencies.coldStart.recordRequest(chosen.upstream.id)
+            } ?: chooseForService(candidates, view.upstreams.getValue(request.pool))
+        if (chosen is PlacementResult.Chosen) dependencies.coldStart.recordRequest(chosen.upstream.id)
         return chosen
     }
 
@@ -115,15 +118,42 @@
     ): List<KnownUpstream> =
         view.upstreams[request.pool].orEmpty().filterNot { isZoneSilent(it, fleet) || activity.isSuspect(it.id) }
 
-    private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream {
+    private fun chooseForService(candidates: List<KnownUpstream>, pool: List<KnownUpstream>): PlacementResult {
         val loads = dependencies.loads.estimates(candidates.map { it.id })
-        return compared(candidates, loads).minBy { upstream ->
-            val zonePenalty =
-                if (upstream.registration.availabilityZone == dependencies.zone) 0.0 else REMOTE_ZONE_PENALTY
+        val isEstimated =
+            dependencies.isLoadAware() &&
+                pool.size <= SMALL_SERVICE_UPSTREAMS &&
+                loads.basis == LoadBasis.REPORTS &&
+                !loads.areReported
+        if (!isEstimated) return PlacementResult.Chosen(leastLoaded(candidates, loads))
+        return chooseByEstimates(candidates, pool)
+    }
+
+    private fun chooseByEstimates(candidates: List<KnownUpstream>, pool: List<KnownUpstream>): PlacementResult {
+        val slots = pool.associate { it.id to it.registration.slots }
+        val loads = dependencies.services.loads(slots.keys, slots::getValue)
+        val notFull = candidates.filter { !loads.getValue(it.id).fullFor.isPositive() }
+        if (notFull.isEmpty()) {
+            val slotFree = candidates.minOf { loads.getValue(it.id).fullFor }
+            return PlacementResult.Rejected("all upstreams have just rejected requests as they are full", slotFree)
+        }
+        val compared =
+            notFull.map {
+                val speed = dependencies.speeds.slowness(it.id)
+                ServiceCandidate(it, loads.getValue(it.id), speed, isRemote(it), activity.failureRate(it.id))
+            }
+        val chosen = responseTimeSelection.select(compared, dependencies.random)
+        return PlacementResult.Chosen(chosen.upstream, explanation = explanationOf(chosen, compared))
+    }
+
+    private fun leastLoaded(candidates: List<KnownUpstream>, loads: PoolLoads): KnownUpstream =
+        compared(candidates, loads).minBy { upstream ->
+            val zonePenalty = if (isRemote(upstream)) REMOTE_ZONE_PENALTY else 0.0
             loads[upstream.id].inFlight.toDouble() / upstream.registration.slots + zonePenalty +
                 activity.failureRate(upstream.id) * FAILURE_RATE_PENALTY
         }
-    }
+
+    private fun isRemote(upstream: KnownUpstream): Boolean = upstream.registration.availabilityZone != dependencies.zone
 
     /**
      * Returns the upstreams of which the least loaded one is chosen, in random order: all [candidates], or two of them if their
@@ -138,6 +168,9 @@
 
     private companion object {
         const val COMPARED_UPSTREAMS = 2
+
+        /** Largest service whose gateways send each other their requests in progress at each upstream. */
+        const val SMALL_SERVICE_UPSTREAMS = 8
         val RETRY_AFTER = 300.milliseconds
 
         /** Network partitions of a zone rarely last less than this. */
