Refuse prompts that engines could only serve too late

Gateways sent every prompt to an engine, also under a multiple of the pool's capacity, so that engines prefilled prompts of callers that had left.

With load-aware scheduling, a gateway now refuses a request that clearly cannot meet its deadline at any engine, and admits less urgent classes in part while the queues exceed the latency target of the most urgent class. A further attempt is not made where it cannot meet the deadline either.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
@@ -32,6 +32,7 @@
  * The attempts of one request. Confined to the traffic thread.
  *
  * @param timeLeft returns the time until the deadline of the request
+ * @param canMeetDeadline returns whether an upstream other than the given ones may respond in time
  * @param choose selects an upstream other than the given ones
  */
 internal class AttemptAllowance(
@@ -39,6 +40,7 @@
     private val pool: PoolId,
     private val retries: RetryAllowance,
     private val timeLeft: () -> Duration,
+    private val canMeetDeadline: (excluded: Set<UpstreamId>) -> Boolean,
     private val choose: (excluded: Set<UpstreamId>) -> PlacementResult,
 ) {
     private val excluded = HashSet<UpstreamId>()
@@ -57,6 +59,9 @@
             return NextAttempt.Allowed(it)
         }
         exhaustionFailure()?.let { return NextAttempt.Denied(it) }
+        if (excluded.isNotEmpty() && !canMeetDeadline(excluded)) {
+            return denied("a further attempt would miss the deadline", RETRY_AFTER)
+        }
         val placement =
             when (val result = choose(excluded)) {
                 is PlacementResult.Chosen -> result
@@ -74,6 +79,7 @@
     fun reserveAfter(current: UpstreamId): Boolean {
         if (!allowsReplacement || timeLeft() < minimumAttemptTime(route)) return false
         if (lastRejection != null && excluded.size + 1 >= MAXIMUM_UPSTREAMS) return false
+        if (!canMeetDeadline(excluded + current)) return false
         val placement = choose(excluded + current) as? PlacementResult.Chosen ?: return false
         if (!retries.tryAcquire()) return false
         reserved = placement
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -18,6 +18,7 @@
 
 internal class AttemptLoop(private val dependencies: ForwarderDependencies) {
     private val relay = ResponseRelay(dependencies)
+    private val admission = AttemptAdmission(dependencies)
 
     /**
      * Sends the request of [context] to one upstream after another until an attempt succeeds or no further one is
@@ -38,8 +39,11 @@
         allowance: AttemptAllowance,
     ): Failure? {
         val fallback = FallbackResponse(callerResponse)
+        var isFirst = true
         while (true) {
             crashingPromptFailure(context)?.let { return fallback.respondOr(it) }
+            if (isFirst) admission.refusal(context)?.let { return it }
+            isFirst = false
             val placement =
                 when (val next = allowance.next()) {
                     is NextAttempt.Allowed -> next.placement
@@ -68,6 +72,7 @@
             context.pool,
             retriesOf(context.pool),
             context::timeLeft,
+            { excluded -> admission.canMeetDeadline(context, excluded) },
         ) { excluded -> place(context, excluded) }
 
     private fun retriesOf(pool: PoolId) =
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -9,11 +9,15 @@
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import kotlinx.coroutines.CancellationException
+import org.primrosesill.admission.PoolAdmission
+import org.primrosesill.admission.poolAdmission
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.generated.EventType
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
+import org.primrosesill.load.UpstreamSpeeds
+import org.primrosesill.load.UsualSpeeds
 import org.primrosesill.model.Failure
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.PoolId
@@ -37,6 +41,8 @@
  * @property onCrashEvidence called when peers should receive the evidence in [crashingParts] at once
  * @property buffers counts what all requests buffer
  * @property plannedStop returns the stop of this gateway that has begun, or null
+ * @property isLoadAware whether [poolAdmission] decides which requests are sent to engines
+ * @property nowMillis time of a monotonic clock in milliseconds
  */
 public class ForwarderDependencies(
     public val view: () -> DirectoryView,
@@ -53,9 +59,13 @@
     public val client: UpstreamClient,
     public val metrics: ForwardingMetrics,
     public val events: ForwardingEvents,
+    public val nowMillis: () -> Long,
     public val buffers: BufferBudget = BufferBudget(),
     public val plannedStop: () -> PlannedStop? = { null },
     public val random: Random = Random.Default,
+    public val speeds: UpstreamSpeeds = UsualSpeeds,
+    public val isLoadAware: () -> Boolean = { false },
+    public val poolAdmission: PoolAdmission = poolAdmission(),
 )
 
 /** Returns a handler that forwards requests to upstreams. */
--- a/src/main/kotlin/org/primrosesill/forwarding/ForwardingMetrics.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ForwardingMetrics.kt
@@ -20,6 +20,9 @@
     /** Counts an attempt at an upstream. */
     public fun attempted(pool: PoolId, result: String)
 
+    /** Counts a request of [priority] that was admitted to a pool of engines or refused. */
+    public fun admissionDecided(pool: PoolId, priority: Int, result: String)
+
     /** Counts a response with a report of its upstream's load. */
     public fun loadReported(isReadable: Boolean)
 }
@@ -32,5 +35,7 @@
 
     override fun attempted(pool: PoolId, result: String): Unit = Unit
 
+    override fun admissionDecided(pool: PoolId, priority: Int, result: String): Unit = Unit
+
     override fun loadReported(isReadable: Boolean): Unit = Unit
 }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -168,6 +168,8 @@
                 },
                 buffers = trafficLoop.buffers,
                 plannedStop = { plannedStop },
+                isLoadAware = ::isLoadAware,
+                nowMillis = ::monotonicMillis,
             ),
         )
 
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayMetrics.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayMetrics.kt
@@ -45,6 +45,11 @@
     override fun attempted(pool: PoolId, result: String) =
         registry.counter("primrosesill.attempts", "pool", pool.value, "result", result).increment()
 
+    override fun admissionDecided(pool: PoolId, priority: Int, result: String) {
+        val tags = arrayOf("pool", pool.value, "priority", priority.toString(), "result", result)
+        registry.counter("primrosesill.admission", *tags).increment()
+    }
+
     override fun loadReported(isReadable: Boolean) =
         registry.counter("primrosesill.load.reports", "result", if (isReadable) "read" else "malformed").increment()
 
--- a/src/main/kotlin/org/primrosesill/model/Failure.kt
+++ b/src/main/kotlin/org/primrosesill/model/Failure.kt
@@ -67,13 +67,13 @@
             retryAfter = retryAfter,
         )
 
-    /** The router sheds load of this priority. */
-    public class Overloaded(public val priority: Int, retryAfter: Duration) :
+    /** The router sheds load of this priority. [cause] states where and why, if that is known. */
+    public class Overloaded(public val priority: Int, retryAfter: Duration, cause: String = "") :
         Failure(
             "overloaded",
             503,
             "The router is overloaded",
-            "requests of priority $priority are not accepted at present",
+            "requests of priority $priority are not accepted at present" + if (cause.isEmpty()) "" else " $cause",
             retryAfter = retryAfter,
         )
 
--- a/src/test/kotlin/org/primrosesill/forwarding/AttemptAllowanceTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/AttemptAllowanceTest.kt
@@ -43,6 +43,7 @@
         val retries: Int = 1,
         val timeLeft: Duration = 2.seconds,
         val earlier: List<AttemptOutcome> = emptyList(),
+        val canMeetDeadline: Boolean = true,
     )
 
     private val unknown = AttemptOutcome.Unknown("reset")
@@ -54,6 +55,7 @@
             testPool,
             retries,
             { case.timeLeft },
+            { case.canMeetDeadline },
         ) { excluded ->
             (1..case.upstreams)
                 .map { testUpstream("u$it") }
@@ -97,6 +99,7 @@
             Case("retry budget empty", false, retries = 0),
             Case("too late for another response", false, timeLeft = 99.milliseconds),
             Case("just in time", true, timeLeft = 100.milliseconds),
+            Case("queues longer than the time left", false, canMeetDeadline = false),
             Case("maximum number of upstreams", false, upstreams = 9, retries = 9, earlier = List(3) { notRun }),
         ).map { case ->
             dynamicTest(case.name) {
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -132,6 +132,7 @@
     retryLimit: RetryLimit = RetryLimit(ratio = 10.0, windowMillis = 10_000, fixed = 100),
     placement: Placement = firstUntriedPlacement,
     activityClock: (() -> Long)? = null,
+    isLoadAware: Boolean = false,
 ) {
     constructor(client: ScriptedClient) : this(client as UpstreamClient)
 
@@ -141,6 +142,7 @@
     val view = directoryView(configuration, upstreams)
     val activity = UpstreamActivity(activityClock ?: { nowMillis })
     val notices = UpstreamNotices({ 2_000 }, { 0 })
+    val loads = UpstreamLoads(activity) { nowMillis }
     val handler =
         forwarder(
             ForwarderDependencies(
@@ -150,7 +152,7 @@
                 placement = placement,
                 activity = activity,
                 index = PromptCacheIndex { 0 },
-                loads = UpstreamLoads(activity) { 0 },
+                loads = loads,
                 notices = notices,
                 crashingParts = CrashingParts { nowMillis },
                 onCrashEvidence = {},
@@ -163,6 +165,8 @@
                 client = client,
                 metrics = NoForwardingMetrics,
                 events = { type, _, _, cause -> events += type to cause },
+                nowMillis = { nowMillis },
+                isLoadAware = { isLoadAware },
             ),
         )
 
