--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -171,6 +171,8 @@
                 buffers = trafficLoop.buffers,
                 plannedStop = { plannedStop },
                 services = services,
+                isLoadAware = ::isLoadAware,
+                nowMillis = ::monotonicMillis,
             ),
         )
 
