Learn the speed of upstreams from reports, durations and gossip

The cost and load share of an engine and the load fraction of a plain upstream are scaled by the slowness relative to the median. The prefill rate of a pool replaces the constant of 35 tokens/ms. Only load-aware scheduling uses either.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -122,6 +122,7 @@
                     { prompt.markPrefilled(context) },
                     context.timeLeft(),
                     replacement(context, placement.upstream.id, allowance),
+                    placement.prefillTokens,
                 )
             val result = exchange(context, placement, attempt, callerResponse)
             if (result !is ExchangeResult.Responded) activity.recordConnectionFailure(upstream)
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -13,12 +13,14 @@
  * @property onPromptPrefilled called on the first event of a stream
  * @property startedWith time until the deadline of the request when the attempt began
  * @property replacement reserves the attempt that replaces this one; null if none may follow
+ * @property prefillTokens prompt tokens that the upstream probably has to prefill
  */
 internal class AttemptInProgress(
     val upstream: KnownUpstream,
     val onPromptPrefilled: () -> Unit,
     val startedWith: Duration,
     val replacement: AttemptReplacement?,
+    val prefillTokens: Int = 0,
 )
 
 /** Replaces an attempt in progress by one at another upstream. */
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -11,9 +11,11 @@
 import kotlinx.coroutines.CancellationException
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
+import org.primrosesill.load.UsualSpeeds
 import org.primrosesill.model.Failure
 import org.primrosesill.model.HeaderFields
 import org.primrosesill.model.PoolId
@@ -56,6 +58,7 @@
     public val buffers: BufferBudget = BufferBudget(),
     public val plannedStop: () -> PlannedStop? = { null },
     public val random: Random = Random.Default,
+    public val speeds: SpeedObservations = UsualSpeeds,
 )
 
 /** Returns a handler that forwards requests to upstreams. */
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -33,6 +33,7 @@
         dependencies.activity.recordZoneResponse(upstream.registration.availabilityZone)
         dependencies.activity.recordData(upstream.id)
         metadata.load?.let { recordLoad(it, upstream.id, context) }
+        val report = metadata.load as? ReportedLoad
         recordNotices(metadata, upstream, context)
         val success = response.status in SUCCESS_STATUSES
         return when {
@@ -40,11 +41,13 @@
             metadata.contentEncoded -> AttemptOutcome.Unknown("response body has a content encoding")
             !metadata.signed -> AttemptOutcome.Unknown("status ${response.status} without a signature")
             success && context.route.kind == RouteKind.STREAM && isEventStream(response) ->
-                StreamRelay(dependencies, context, attempt, response, callerResponse).relay()
+                StreamRelay(dependencies, context, attempt, response, callerResponse, report).relay()
             else -> {
                 val buffer = ByteArrayOutputStream()
                 try {
-                    relayBuffered(context, upstream, response, callerResponse, buffer)
+                    relayBuffered(context, upstream, response, callerResponse, buffer) {
+                        if (success && report?.slowness == null) recordResponseTime(context, attempt)
+                    }
                 } finally {
                     dependencies.buffers.add(-buffer.size())
                 }
@@ -59,7 +62,10 @@
     private fun recordLoad(report: LoadReport, upstream: UpstreamId, context: RequestContext) {
         dependencies.metrics.loadReported(isReadable = report is ReportedLoad)
         when (report) {
-            is ReportedLoad -> dependencies.loads.recordReported(upstream, report)
+            is ReportedLoad -> {
+                val id = dependencies.loads.recordReported(upstream, report)
+                report.slowness?.let { dependencies.speeds.recordReported(upstream, it, id) }
+            }
             is MalformedLoad ->
                 if (malformedLoads.allowsEvent()) {
                     val cause = "load report cannot be read: '${report.text.take(MAXIMUM_LOGGED_CHARACTERS)}'"
@@ -68,6 +74,12 @@
         }
     }
 
+    private fun recordResponseTime(context: RequestContext, attempt: AttemptInProgress) {
+        if (context.route.kind == RouteKind.STREAM) return
+        val responseTime = attempt.startedWith - context.timeLeft()
+        dependencies.speeds.recordResponseTime(context.pool, context.route.name, attempt.upstream.id, responseTime)
+    }
+
     private fun recordNotices(metadata: ResponseMetadata, upstream: KnownUpstream, context: RequestContext) {
         val requestId = context.metadata.id
         if (metadata.leaving && dependencies.notices.recordLeaving(upstream)) {
@@ -95,6 +107,7 @@
         response: UpstreamResponse,
         callerResponse: OutboundResponse,
         buffer: ByteArrayOutputStream,
+        onReceived: () -> Unit,
     ): AttemptOutcome {
         val end = withTimeoutOrNull(context.timeLeft()) { fillBuffer(buffer, response.body) } ?: DEADLINE_PASSED
         if (end is BodyPart.Truncated) {
@@ -123,6 +136,7 @@
         if (end is BodyPart.Bytes) {
             return relayUnbuffered(context, upstream, response, callerResponse, buffer.toByteArray())
         }
+        onReceived()
         if (response.status < 500) dependencies.activity.recordSuccess(upstream.id)
         callerResponse.respond(headOf(response), buffer.toByteArray())
         return AttemptOutcome.Delivered(response.status, ResponseEnd(response.closeDelimited))
--- a/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.primrosesill.answer.StreamEvent
+import org.primrosesill.load.ReportedLoad
 import org.primrosesill.request.UpstreamResponse
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -14,6 +15,7 @@
  * The relay of one response.
  *
  * @param callerResponse has been started if the stream is resumed
+ * @param report the load that the upstream reported with [response], or null
  */
 internal class StreamRelay(
     private val dependencies: ForwarderDependencies,
@@ -21,10 +23,12 @@
     private val attempt: AttemptInProgress,
     private val response: UpstreamResponse,
     private val callerResponse: OutboundResponse,
+    report: ReportedLoad?,
 ) {
     private val upstream = attempt.upstream
     private val reader = EventStreamReader(response.body, dependencies.buffers)
     private val resumed = callerResponse.started
+    private val speed = StreamSpeedMeasurement(dependencies, context, attempt, report)
     private var eventCount = 0
 
     /** Time from the start of the attempt to the head of its response and, once there is one, to its first event. */
@@ -56,14 +60,19 @@
         if (eventCount == 0) {
             attempt.onPromptPrefilled()
             startupTime = attempt.startedWith - context.timeLeft()
+            speed.recordFirstEvents(startupTime)
+        } else {
+            speed.recordEvents(part.events.size)
         }
         if (!callerResponse.started) {
             dependencies.metrics.responseStarted(context.pool, context.request.arrivedAt.elapsedNow())
         }
         startResponse()
         var interruption: StreamPart.Interrupted? = null
-        withTimeoutOrNull(context.timeLeft()) { interruption = writeEvents(part.events) }
+        val writtenFrom = context.timeLeft()
+        withTimeoutOrNull(writtenFrom) { interruption = writeEvents(part.events) }
             ?: return AttemptOutcome.Cut("the caller did not read before the deadline", connectionLost = false)
+        speed.recordWritten(writtenFrom - context.timeLeft())
         interruption?.let { return interrupted(it) }
         // The first event is forwarded at once, because the caller waits for it; later ones may be batched.
         response.body.allowBatching()
@@ -87,6 +96,7 @@
 
     private suspend fun end(part: StreamPart.End): AttemptOutcome {
         truncationReason()?.let { return interrupted(StreamPart.Interrupted(it, response.closeDelimited)) }
+        speed.recordEnd()
         startResponse()
         if (part.comments.isNotEmpty()) withTimeoutOrNull(context.timeLeft()) { callerResponse.write(part.comments) }
         callerResponse.finish()
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -33,6 +33,7 @@
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
+import org.primrosesill.load.upstreamSpeeds
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.SocketAddress
 import org.primrosesill.model.parseSocketAddress
@@ -82,10 +83,11 @@
     private val activity = UpstreamActivity(::monotonicMillis)
     private val index = PromptCacheIndex(::monotonicMillis)
     private val loads = UpstreamLoads(activity, ::monotonicMillis)
+    private val speeds = upstreamSpeeds(::isLoadAware, ::monotonicMillis)
     private val self = newMember(settings)
     private val silentUpstreams = SilentUpstreams(shortCode(self.router.value), activity, ::monotonicMillis)
     private val crashingParts = CrashingParts(::monotonicMillis)
-    private val trafficGossip = TrafficGossip(loads, index, silentUpstreams, crashingParts)
+    private val trafficGossip = TrafficGossip(loads, index, silentUpstreams, crashingParts, speeds)
     private val notices = UpstreamNotices({ settings.drainMillis.toLong() }, ::monotonicMillis)
     private val fleetView =
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), isComplete = false), FleetReachability()))
@@ -104,7 +106,7 @@
             ::monotonicMillis,
             ::reconcileUpstreamState,
         ) { exchangeLoop.announce(UpdateSource.PLATFORM) }
-    private val upstreamStateReconciler = UpstreamStateReconciler(activity, loads, index, coldStartBudget)
+    private val upstreamStateReconciler = UpstreamStateReconciler(activity, loads, index, coldStartBudget, speeds)
     private val peerClient = PeerClient(client)
     val gossipSocket: GossipSocket =
         GossipSocket(peerSocketAddress(settings), settings.gossipPort, events, controlScope) {
@@ -168,6 +170,7 @@
                 },
                 buffers = trafficLoop.buffers,
                 plannedStop = { plannedStop },
+                speeds = speeds,
             ),
         )
 
@@ -193,6 +196,7 @@
         metrics.gauge("buffered.bytes") { trafficLoop.buffers.usedBytes }
         metrics.gauge("prompt.parts.blocked") { crashingParts.blockedCount }
         metrics.gauge("prompt.parts.suspect") { crashingParts.suspectCount }
+        metrics.gauge("upstreams.slow") { speeds.countSlow(SLOW) }
         metrics.gauge("configuration.version") { directory.view.configuration?.version ?: 0 }
     }
 
@@ -244,6 +248,7 @@
             fleet = { fleetView.get().reachability },
             onHighLoad = { controlScope.launch { exchangeLoop.broadcastRequestCounts() } },
             nowMillis = ::monotonicMillis,
+            speeds = speeds,
             isLoadAware = ::isLoadAware,
         )
 
@@ -252,6 +257,9 @@
 
     private companion object {
         val CONNECT_TIMEOUT = 200.milliseconds
+
+        /** Slowness from which the metric counts an upstream as slow: half of the usual speed. */
+        const val SLOW = 2.0
     }
 }
 
--- a/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
@@ -15,7 +15,9 @@
 import org.primrosesill.load.SilenceChanges
 import org.primrosesill.load.SilenceReport
 import org.primrosesill.load.SilentUpstreams
+import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.UpstreamLoads
+import org.primrosesill.load.UsualSpeeds
 import org.primrosesill.model.RouterId
 import org.primrosesill.model.UpstreamId
 import org.primrosesill.placement.CompletionReport
@@ -36,6 +38,7 @@
     private val index: PromptCacheIndex,
     private val silentUpstreams: SilentUpstreams,
     private val crashingParts: CrashingParts,
+    private val speeds: SpeedObservations = UsualSpeeds,
 ) {
     private var upstreamsByCode: Map<String, UpstreamId> = emptyMap()
 
@@ -52,7 +55,7 @@
      */
     fun addTo(message: ExchangeMessage): ExchangeMessage {
         val parts = index.recentUpdates()
-        val observations = loads.recentObservations()
+        val observations = speeds.withMeasured(loads.recentObservations())
         return message.with(crashingParts.evidence()).copy(
             silentUpstreams = silentUpstreams.reports().joinToString("", transform = ::encode),
             observedLoads = observations.joinToString("", transform = ::encode),
@@ -108,7 +111,9 @@
 
     /** Applies the loads, silence reports and held parts in [message]. */
     fun applyMessage(message: ExchangeMessage) {
-        loads.merge(observationsIn(message))
+        val observations = observationsIn(message)
+        loads.merge(observations)
+        speeds.merge(observations)
         silentUpstreams.addReports(message.silentUpstreams.chunked(SILENCE_ENTRY_LENGTH).mapNotNull(::decodeSilence))
         message.heldParts?.let { index.merge(partsOf(it)) }
     }
--- a/src/main/kotlin/org/primrosesill/gateway/UpstreamStateReconciler.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/UpstreamStateReconciler.kt
@@ -5,6 +5,7 @@
 package org.primrosesill.gateway
 
 import org.primrosesill.discovery.DirectoryView
+import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.model.UpstreamId
@@ -17,6 +18,7 @@
     private val loads: UpstreamLoads,
     private val index: PromptCacheIndex,
     private val coldStart: ColdStartBudget,
+    private val speeds: SpeedObservations,
 ) {
     private var listedStartMillis: Map<UpstreamId, Long?> = emptyMap()
 
@@ -32,6 +34,7 @@
         activity.retain(listed.keys)
         loads.retain(listed.keys)
         coldStart.retain(listed.keys)
+        speeds.retain(listed.keys)
         listedStartMillis = listed
     }
 }
--- a/src/main/kotlin/org/primrosesill/load/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamLoads.kt
@@ -189,12 +189,13 @@
         return maxOf(own, reported.load + (own - reported.ownInFlight).coerceAtLeast(0))
     }
 
-    /** Records the load that [upstream] reported in a response to this router. */
-    public fun recordReported(upstream: UpstreamId, reported: ReportedLoad) {
+    /** Records the load that [upstream] reported in a response to this router, and returns the id of the report. */
+    public fun recordReported(upstream: UpstreamId, reported: ReportedLoad): ReportId {
         val now = nowMillis()
         val load = reported.running + reported.waiting
         val report = newReportId(load, now)
         put(LoadObservation(upstream, load, ageMillis = 0, report, reported.waiting, reported.slowness), now)
+        return report
     }
 
     @Synchronized
--- a/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EngineCosts.kt
@@ -4,11 +4,13 @@
  *
  * Load patterns: most requests share a few long prompt prefixes, so that prefilling these again on each engine takes more
  * work than the requests themselves; one prefix gets much of the traffic for some seconds, so that its engine falls behind;
- * engines fail some of their requests.
+ * engines fail some of their requests; some engines work several
+ * times as slowly as the others for some seconds.
  */
 package org.primrosesill.placement
 
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.load.DEFAULT_PREFILL_TOKENS_PER_MILLISECOND
 import org.primrosesill.load.LoadEstimate
 import org.primrosesill.model.AvailabilityZoneId
 import kotlin.time.Duration
@@ -22,7 +24,7 @@
  * @property rank rendezvous hash for the shared parts of the prompt; the same on all routers
  * @property cachedTokens tokens at the beginning of the prompt that the engine has prefilled before
  * @property pendingPrefillTokens prompt tokens of other requests that the engine has yet to prefill
- * @property slowness time that work takes at the engine at present, relative to the usual time
+ * @property slowness time that work takes at the engine at present, relative to the median of the engines
  */
 internal class EngineCandidate(
     val upstream: KnownUpstream,
@@ -53,6 +55,7 @@
  *
  * @property bestCachedTokens largest number of tokens cached by any engine from which others can fetch
  * @property bytes bytes of the request plus an estimate for its response
+ * @property prefillTokensPerMillisecond prompt tokens that an engine prefills in a millisecond
  */
 internal class PromptCostInputs(
     val promptTokens: Int,
@@ -60,23 +63,24 @@
     val latencyTarget: Duration,
     val bytes: Int,
     val zone: AvailabilityZoneId,
+    val prefillTokensPerMillisecond: Double = DEFAULT_PREFILL_TOKENS_PER_MILLISECOND,
 )
 
 /** Returns the cost of serving [prompt] on [candidate], in prompt tokens. */
 internal fun engineCost(prompt: PromptCostInputs, candidate: EngineCandidate): Double {
     val fetchedTokens = (prompt.bestCachedTokens - candidate.cachedTokens).coerceAtLeast(0)
     val prefillTokens = (prompt.promptTokens - candidate.cachedTokens - fetchedTokens).coerceAtLeast(0)
-    return prefillTokens +
+    return prefillTokens * candidate.slowness +
         fetchedTokens * FETCHED_TOKEN_COST +
-        candidate.load.inFlight * IN_FLIGHT_COST +
-        latenessCost(prompt, candidate.pendingPrefillTokens + prefillTokens) +
+        candidate.load.inFlight * IN_FLIGHT_COST * candidate.slowness +
+        latenessCost(prompt, (candidate.pendingPrefillTokens + prefillTokens) * candidate.slowness) +
         candidate.failureRate * FAILURE_COST +
         crossZoneCost(prompt, candidate)
 }
 
 /** Returns 0 for a wait of up to half of the latency target; a longer wait costs more, as the response is likelier late. */
-private fun latenessCost(prompt: PromptCostInputs, queuedTokens: Int): Double {
-    val waitMillis = queuedTokens / PREFILL_TOKENS_PER_MILLISECOND
+private fun latenessCost(prompt: PromptCostInputs, queuedTokens: Double): Double {
+    val waitMillis = queuedTokens / prompt.prefillTokensPerMillisecond
     val fractionOfTarget = waitMillis / prompt.latencyTarget.toDouble(DurationUnit.MILLISECONDS).coerceAtLeast(1.0)
     return (fractionOfTarget - FREE_FRACTION_OF_TARGET).coerceAtLeast(0.0) * LATENESS_COST
 }
@@ -94,8 +98,6 @@
 /** Cost of each request in flight, which slightly slows down the other requests on its engine. */
 private const val IN_FLIGHT_COST = 6.0
 
-/** Prompt tokens that an engine prefills in a millisecond. */
-private const val PREFILL_TOKENS_PER_MILLISECOND = 35.0
 private const val FREE_FRACTION_OF_TARGET = 0.5
 private const val LATENESS_COST = 8_000.0
 
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -7,6 +7,7 @@
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.load.LoadBasis
 import org.primrosesill.load.PoolLoads
+import org.primrosesill.load.relativeSlowness
 import org.primrosesill.model.UpstreamId
 import java.util.Locale
 
@@ -32,7 +33,8 @@
     ): PlacementResult.Chosen {
         val cachedTokens = index.cachedTokens(prompt)
         val poolLoads = loads.estimates(pool.map { it.id })
-        val engines = candidates.map { candidate(it, prompt, poolLoads, cachedTokens) }
+        val slowness = dependencies.speeds.relativeSlowness(candidates.map { it.id })
+        val engines = candidates.map { candidate(it, prompt, poolLoads, cachedTokens, slowness[it.id] ?: 1.0) }
         val bound = loadBound(poolLoads)
         val available = engines.filter { it.isBelow(bound) }.ifEmpty { leastLoaded(engines) }
         val choice =
@@ -40,7 +42,7 @@
                 prompt,
                 costInputs(request, prompt, cachedTokens, sources),
                 available,
-                meanLoad = engines.sumOf { it.averageLoad } / engines.size,
+                meanLoad = engines.sumOf { it.averageLoad * it.slowness } / engines.size,
                 isUncached = isUncached(prompt, cachedTokens),
                 replicas = popularity.replicas(prompt, engines.size),
             )
@@ -75,9 +77,14 @@
             "last shared part ${prompt.sharedParts.lastOrNull()?.id}, replicas ${choice.replicas}; " +
             "${chosen.load.description}, load bound ${bound.toInt()}, " +
             "$below of ${engines.size} candidate engines below it, $total on all of them, " +
-            "average ${rounded(chosen.averageLoad)}, mean of the candidates ${rounded(choice.meanLoad)}"
+            "average ${rounded(chosen.averageLoad)}, mean of the candidates ${rounded(choice.meanLoad)}" +
+            if (dependencies.isLoadAware()) speedText(choice, chosen) else ""
     }
 
+    private fun speedText(choice: EngineChoice, chosen: EngineCandidate): String =
+        ", ${rounded(chosen.slowness)} times as slow as the median, " +
+            "prefill ${rounded(choice.costInputs.prefillTokensPerMillisecond)} tokens/ms"
+
     /** Returns whether [prompt] has shared parts and no engine has cached all of them. */
     private fun isUncached(prompt: Prompt, cachedTokens: Map<UpstreamId, Int>): Boolean =
         prompt.sharedTokens > 0 && cachedTokens.values.none { it >= prompt.sharedTokens }
@@ -87,6 +94,7 @@
         prompt: Prompt,
         loads: PoolLoads,
         cachedTokens: Map<UpstreamId, Int>,
+        slowness: Double,
     ) = EngineCandidate(
         upstream = upstream,
         load = loads[upstream.id],
@@ -95,7 +103,7 @@
         cachedTokens = cachedTokens[upstream.id] ?: 0,
         pendingPrefillTokens = activity.pendingPrefillTokens(upstream.id),
         failureRate = activity.failureRate(upstream.id),
-        slowness = dependencies.speeds.slowness(upstream.id),
+        slowness = slowness,
     )
 
     private fun costInputs(
@@ -106,7 +114,14 @@
     ): PromptCostInputs {
         val bestCachedTokens = sources.maxOfOrNull { cachedTokens[it.id] ?: 0 } ?: 0
         val bytes = request.bodyBytes + prompt.maximumOutputTokens * RESPONSE_BYTES_PER_TOKEN
-        return PromptCostInputs(prompt.promptTokens, bestCachedTokens, request.latencyTarget, bytes, dependencies.zone)
+        return PromptCostInputs(
+            prompt.promptTokens,
+            bestCachedTokens,
+            request.latencyTarget,
+            bytes,
+            dependencies.zone,
+            dependencies.speeds.prefillTokensPerMillisecond(request.pool),
+        )
     }
 
     private fun selectionFor(basis: LoadBasis): EngineSelection =
--- a/src/main/kotlin/org/primrosesill/placement/EngineSelection.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EngineSelection.kt
@@ -7,7 +7,8 @@
  * The engines among which one is selected, and what the selection depends on.
  *
  * @property engines engines below the load bound; not empty
- * @property meanLoad mean of the average loads of all engines that may get the request, those over the bound included
+ * @property meanLoad mean of the average loads, each times the slowness, of all engines that may get the request, those over
+ *     the bound included
  * @property isUncached whether the prompt has shared parts and no engine has cached all of them
  * @property replicas number of engines over which the prompts with these shared parts are spread
  */
@@ -79,7 +80,7 @@
 
 /** Returns whether this engine accepts the prompt. The own part decides, so that the requests of a session stay together. */
 private fun EngineCandidate.accepts(choice: EngineChoice): Boolean =
-    rendezvousFraction(choice.prompt.parts, upstream.id) < acceptedFraction(averageLoad, choice.meanLoad)
+    rendezvousFraction(choice.prompt.parts, upstream.id) < acceptedFraction(averageLoad * slowness, choice.meanLoad)
 
 /** Returns the fraction of the prompts that an engine accepts: 1 up to about the mean load, and 0 well below twice as much. */
 internal fun acceptedFraction(averageLoad: Double, meanLoad: Double): Double {
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -13,6 +13,7 @@
 import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.load.UpstreamSpeeds
 import org.primrosesill.load.UsualSpeeds
+import org.primrosesill.load.relativeSlowness
 import org.primrosesill.model.AvailabilityZoneId
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -117,10 +118,13 @@
 
     private fun leastLoaded(candidates: List<KnownUpstream>): KnownUpstream {
         val loads = dependencies.loads.estimates(candidates.map { it.id })
+        val slownessById = dependencies.speeds.relativeSlowness(candidates.map { it.id })
         return compared(candidates, loads).minBy { upstream ->
+            val slowness = slownessById[upstream.id] ?: 1.0
             val zonePenalty =
                 if (upstream.registration.availabilityZone == dependencies.zone) 0.0 else REMOTE_ZONE_PENALTY
-            loads[upstream.id].inFlight.toDouble() / upstream.registration.slots + zonePenalty +
+            // With this request included, so that a slow upstream without requests ranks after an idle usual one.
+            ((loads[upstream.id].inFlight + 1) * slowness - 1) / upstream.registration.slots + zonePenalty +
                 activity.failureRate(upstream.id) * FAILURE_RATE_PENALTY
         }
     }
