--- a/src/main/kotlin/org/primrosesill/load/LearnedSpeeds.kt
+++ b/src/main/kotlin/org/primrosesill/load/LearnedSpeeds.kt
@@ -11,6 +11,8 @@
 import org.primrosesill.model.UpstreamId
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.exp
+import kotlin.math.log2
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -71,9 +73,8 @@
         if (!isEnabled()) return observations
         val now = nowMillis()
         return observations.map { observation ->
-            val report = observation.report.takeIf { observation.slowness == null }
-            val measured = report?.let { upstreams[observation.upstream]?.measuredFor(it, now) }
-            if (measured == null) observation else observation.copy(slowness = measured)
+            val newer = upstreams[observation.upstream]?.newerThan(observation, now)
+            if (newer == null) observation else observation.copy(slowness = newer)
         }
     }
 
@@ -95,9 +96,10 @@
 /** The speed of one upstream. Readers get the latest average without a lock, as a decision reads it for each candidate. */
 private class LearnedSpeed {
     private val average = SpeedAverage()
-    private val measuredHere = SpeedAverage()
     private val countedReports = IntArray(COUNTED_REPORTS)
     private var nextReport = 0
+    private var newest: TimedSlowness? = null
+    private var measuredHere: TimedSlowness? = null
 
     @Volatile
     private var latest: Latest? = null
@@ -107,55 +109,72 @@
     fun estimate(nowMillis: Long): SpeedEstimate? =
         latest?.let { SpeedEstimate(it.slowness(nowMillis), it.dispersion, nowMillis - it.atMillis) }
 
-    /** Adds the slowness in [report] unless it has been added before. */
+    /** Adds the slowness that came with [report] unless it has been added before. */
     @Synchronized
     fun addReport(report: ReportId, slowness: Double, atMillis: Long) {
-        if (markCounted(report)) add(slowness, atMillis)
+        if (!markCounted(report, slowness)) return
+        add(slowness, atMillis)
+        if (atMillis >= (newest?.atMillis ?: atMillis)) newest = TimedSlowness(slowness, atMillis)
     }
 
     @Synchronized
     fun addMeasured(slowness: Double, atMillis: Long) {
-        measuredHere.add(slowness.coerceIn(SLOWNESS_RANGE), atMillis)
         add(slowness, atMillis)
+        newest = TimedSlowness(slowness, atMillis).also { measuredHere = it }
     }
 
     /**
-     * Returns the slowness that this gateway has measured recently, or null. It is sent with [report], which is not counted
-     * again when a peer returns it.
+     * Returns the slowness to be sent with [observation] in place of its own, or null: the newest one that is known if it is
+     * newer than the observation, or what this gateway has measured recently if the observation has none. Peers date it like
+     * the observation, so that passing it on never makes it younger. It is not counted again when a peer returns it.
      */
     @Synchronized
-    fun measuredFor(report: ReportId, nowMillis: Long): Double? {
-        if (measuredHere.isEmpty || nowMillis - measuredHere.atMillis >= SENDING_MILLIS) return null
-        markCounted(report)
-        return measuredHere.mean
+    fun newerThan(observation: LoadObservation, nowMillis: Long): Double? {
+        val report = observation.report ?: return null
+        val newer = newest?.takeIf { it.atMillis >= nowMillis - observation.ageMillis }
+        val measured = measuredHere?.takeIf { observation.slowness == null && nowMillis - it.atMillis < SENDING_MILLIS }
+        val slowness = (newer ?: measured)?.value ?: return null
+        markCounted(report, slowness)
+        return slowness
     }
 
     private fun add(slowness: Double, atMillis: Long) {
-        average.add(slowness.coerceIn(SLOWNESS_RANGE), atMillis)
+        average.add(slowness.coerceIn(MINIMUM_SLOWNESS, MAXIMUM_SLOWNESS), atMillis)
         latest = Latest(average.mean, average.dispersion, average.atMillis)
     }
 
-    private fun markCounted(report: ReportId): Boolean {
-        if (report.number in countedReports) return false
-        countedReports[nextReport] = report.number
+    /**
+     * Returns whether [slowness] has not been counted for [report] yet. Several gateways may send different measurements with
+     * one report. The logarithmic steps are those of gossip, so that a value is recognized after it has been encoded.
+     */
+    private fun markCounted(report: ReportId, slowness: Double): Boolean {
+        val step = (STEPS_PER_DOUBLING * log2(slowness.coerceIn(MINIMUM_SLOWNESS, MAXIMUM_SLOWNESS))).roundToInt()
+        val key = report.number * STEPS_OF_REPORT + step
+        if (key in countedReports) return false
+        countedReports[nextReport] = key
         nextReport = (nextReport + 1) % COUNTED_REPORTS
         return true
     }
 
+    private class TimedSlowness(val value: Double, val atMillis: Long)
+
     private class Latest(val mean: Double, val dispersion: Double, val atMillis: Long) {
         fun slowness(nowMillis: Long): Double =
             if (mean == 1.0) 1.0 else 1 + (mean - 1) * exp(-(nowMillis - atMillis) / RETURN_TIME_CONSTANT_MILLIS)
     }
 
     private companion object {
-        /** What gossip can encode. */
-        val SLOWNESS_RANGE = 0.5..16.0
+        /** The range and the steps that gossip encodes. */
+        const val MINIMUM_SLOWNESS = 0.5
+        const val MAXIMUM_SLOWNESS = 16.0
+        const val STEPS_PER_DOUBLING = 12.0
+        const val STEPS_OF_REPORT = 64
 
         /** An upstream has about ten reports a second in circulation, each for up to 2.4 s. */
-        const val COUNTED_REPORTS = 32
+        const val COUNTED_REPORTS = 64
 
-        /** A measurement takes part in two or three rounds of gossip. */
-        const val SENDING_MILLIS = 1_000L
+        /** One round of gossip. An older measurement may precede a fault that began before the report with which it is sent. */
+        const val SENDING_MILLIS = 400L
 
         /** Without observations an upstream is assumed to return to the usual speed. */
         const val RETURN_TIME_CONSTANT_MILLIS = 3 * SpeedAverage.TIME_CONSTANT_MILLIS
--- a/src/main/kotlin/org/primrosesill/load/UpstreamSpeeds.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamSpeeds.kt
@@ -44,7 +44,7 @@
     /** Adds the slowness in [observations] of peers. A report that arrives repeatedly counts once. */
     public fun merge(observations: List<LoadObservation>)
 
-    /** Returns [observations] with the slowness that this gateway has recently measured where they have none. */
+    /** Returns [observations] with the slowness that was measured since, or recently where they have none. */
     public fun withMeasured(observations: List<LoadObservation>): List<LoadObservation>
 
     /** Returns the number of upstreams whose slowness is at least [slowness]. */
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -8,9 +8,11 @@
 import org.primrosesill.discovery.PlatformRevision
 import org.primrosesill.discovery.UpstreamRegistration
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
+import org.primrosesill.load.UsualSpeeds
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.HeaderFields
@@ -132,6 +134,7 @@
     retryLimit: RetryLimit = RetryLimit(ratio = 10.0, windowMillis = 10_000, fixed = 100),
     placement: Placement = firstUntriedPlacement,
     activityClock: (() -> Long)? = null,
+    speeds: SpeedObservations = UsualSpeeds,
 ) {
     constructor(client: ScriptedClient) : this(client as UpstreamClient)
 
@@ -163,6 +166,7 @@
                 client = client,
                 metrics = NoForwardingMetrics,
                 events = { type, _, _, cause -> events += type to cause },
+                speeds = speeds,
             ),
         )
 
