--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -14,10 +14,10 @@
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.generated.EventType
 import org.primrosesill.load.ServiceConcurrency
+import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
-import org.primrosesill.load.UpstreamSpeeds
 import org.primrosesill.load.UsualSpeeds
 import org.primrosesill.model.Failure
 import org.primrosesill.model.HeaderFields
@@ -65,7 +65,7 @@
     public val plannedStop: () -> PlannedStop? = { null },
     public val random: Random = Random.Default,
     public val services: ServiceConcurrency = ServiceConcurrency(ownCode = "") { 0 },
-    public val speeds: UpstreamSpeeds = UsualSpeeds,
+    public val speeds: SpeedObservations = UsualSpeeds,
     public val isLoadAware: () -> Boolean = { false },
     public val poolAdmission: PoolAdmission = poolAdmission(),
 )
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -15,6 +15,7 @@
 import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.load.UpstreamSpeeds
 import org.primrosesill.load.UsualSpeeds
+import org.primrosesill.load.relativeSlowness
 import org.primrosesill.model.AvailabilityZoneId
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -146,12 +147,16 @@
         return PlacementResult.Chosen(chosen.upstream, explanation = explanationOf(chosen, compared))
     }
 
-    private fun leastLoaded(candidates: List<KnownUpstream>, loads: PoolLoads): KnownUpstream =
-        compared(candidates, loads).minBy { upstream ->
+    private fun leastLoaded(candidates: List<KnownUpstream>, loads: PoolLoads): KnownUpstream {
+        val slownessById = dependencies.speeds.relativeSlowness(candidates.map { it.id })
+        return compared(candidates, loads).minBy { upstream ->
+            val slowness = slownessById[upstream.id] ?: 1.0
             val zonePenalty = if (isRemote(upstream)) REMOTE_ZONE_PENALTY else 0.0
-            loads[upstream.id].inFlight.toDouble() / upstream.registration.slots + zonePenalty +
+            // With this request included, so that a slow upstream without requests ranks after an idle usual one.
+            ((loads[upstream.id].inFlight + 1) * slowness - 1) / upstream.registration.slots + zonePenalty +
                 activity.failureRate(upstream.id) * FAILURE_RATE_PENALTY
         }
+    }
 
     private fun isRemote(upstream: KnownUpstream): Boolean = upstream.registration.availabilityZone != dependencies.zone
 
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -8,9 +8,11 @@
 import org.primrosesill.discovery.PlatformRevision
 import org.primrosesill.discovery.UpstreamRegistration
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
+import org.primrosesill.load.UsualSpeeds
 import org.primrosesill.model.AvailabilityZoneId
 import org.primrosesill.model.CustomerId
 import org.primrosesill.model.HeaderFields
@@ -133,6 +135,7 @@
     placement: Placement = firstUntriedPlacement,
     activityClock: (() -> Long)? = null,
     isLoadAware: Boolean = false,
+    speeds: SpeedObservations = UsualSpeeds,
 ) {
     constructor(client: ScriptedClient) : this(client as UpstreamClient)
 
@@ -167,6 +170,7 @@
                 events = { type, _, _, cause -> events += type to cause },
                 nowMillis = { nowMillis },
                 isLoadAware = { isLoadAware },
+                speeds = speeds,
             ),
         )
 
