--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -29,6 +29,7 @@
 import org.primrosesill.generated.GatewaySettings
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.load.DispatchCorrection
 import org.primrosesill.load.SilentUpstreams
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
@@ -81,7 +82,7 @@
     val metrics = GatewayMetrics()
     private val activity = UpstreamActivity(::monotonicMillis)
     private val index = PromptCacheIndex(::monotonicMillis)
-    private val loads = UpstreamLoads(activity, ::monotonicMillis)
+    private val loads = UpstreamLoads(activity, DispatchCorrection(::isLoadAware, ::monotonicMillis), ::monotonicMillis)
     private val self = newMember(settings)
     private val silentUpstreams = SilentUpstreams(shortCode(self.router.value), activity, ::monotonicMillis)
     private val crashingParts = CrashingParts(::monotonicMillis)
@@ -190,6 +191,7 @@
         metrics.gauge("upstreams.listed") { directory.view.upstreamIds.size }
         metrics.gauge("view.age.millis") { viewAgeMillis }
         metrics.gauge("view.behind.millis") { viewBehindMillis }
+        metrics.gauge("engine.load.imbalance") { loads.imbalance }
         metrics.gauge("buffered.bytes") { trafficLoop.buffers.usedBytes }
         metrics.gauge("prompt.parts.blocked") { crashingParts.blockedCount }
         metrics.gauge("prompt.parts.suspect") { crashingParts.suspectCount }
--- a/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
@@ -59,6 +59,7 @@
             observedReports = observations.joinToString("") { shortNumber(it.reportNumber, REPORT_LENGTH) },
             observedSlowness = encodeSlowness(observations),
             observedWaiting = encodeWaiting(observations),
+            recentDispatches = encodeDispatches(loads.recentDispatches()),
             heldParts = if (parts.isEmpty()) null else heldPartsOf(parts),
         )
     }
@@ -109,6 +110,7 @@
     /** Applies the loads, silence reports and held parts in [message]. */
     fun applyMessage(message: ExchangeMessage) {
         loads.merge(observationsIn(message))
+        message.sender?.let { loads.mergeDispatches(it, decodeDispatches(message.recentDispatches, upstreamsByCode)) }
         silentUpstreams.addReports(message.silentUpstreams.chunked(SILENCE_ENTRY_LENGTH).mapNotNull(::decodeSilence))
         message.heldParts?.let { index.merge(partsOf(it)) }
     }
--- a/src/main/kotlin/org/primrosesill/load/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamLoads.kt
@@ -15,112 +15,23 @@
 import kotlin.math.exp
 import kotlin.math.roundToInt
 
-/**
- * Identifies the response in which an upstream reported a load, so that a router recognizes a copy of the report that other
- * routers have relayed. One in [REPORT_IDS] pairs of reports has the same id.
- */
-@JvmInline
-public value class ReportId(public val number: Int)
-
-/** Number of different report ids: two characters in a message, of which zero stands for no id. */
-public const val REPORT_IDS: Int = 4_095
-
-/**
- * The load that an upstream reported, and how long ago.
- *
- * @property ageMillis at least; the time that a message waits to be read is not included
- * @property report null if a router of an earlier release has relayed the report
- * @property waiting the part of [load] that was waiting, or null if it is unknown
- * @property slowness time that work took, relative to the usual time, or null if it is unknown
- */
-public data class LoadObservation(
-    public val upstream: UpstreamId,
-    public val load: Int,
-    public val ageMillis: Long,
-    public val report: ReportId? = null,
-    public val waiting: Int? = null,
-    public val slowness: Double? = null,
-)
-
-/** Where the estimate of an upstream's load comes from. */
-public enum class LoadSource(public val text: String) {
-    /** The counts that all routers of a small fleet exchange. */
-    EXCHANGED_COUNTS("counted by all routers"),
-
-    /** The last report of the upstream, plus the requests that this router has sent since. */
-    REPORT("reported"),
-
-    /** The requests of this router, as there is no recent report. */
-    NO_REPORT("no recent report"),
-}
-
-/**
- * An estimate of an upstream's load.
- *
- * @property inFlight the expected number of requests in flight, rounded, as smaller differences say nothing
- * @property ageMillis age of the report, or 0 if the estimate does not come from one
- * @property waiting the requests that were waiting when the upstream last reported, or null if that is unknown
- */
-public data class LoadEstimate(
-    public val inFlight: Int,
-    public val source: LoadSource,
-    public val ageMillis: Long,
-    public val waiting: Int? = null,
-) {
-    /** Text for the event log. */
-    public val description: String
-        get() {
-            val age = if (source == LoadSource.REPORT) " $ageMillis ms ago" else ""
-            return "$inFlight in flight (${source.text}$age)"
-        }
-}
-
-/** What the estimates of a pool are based on. */
-public enum class LoadBasis {
-    /** The current counts of all routers of a small fleet. */
-    EXCHANGED_COUNTS,
-
-    /** Reports, since the counts of some routers of a small fleet are missing. */
-    MISSING_COUNTS,
-
-    /** Reports, since the fleet is too large to exchange counts. */
-    REPORTS,
-}
-
-/**
- * The estimated loads of all upstreams of a pool.
- *
- * @param averages the recent average load of each upstream; equal to its estimate where counts are exchanged
- */
-public class PoolLoads(
-    private val estimates: Map<UpstreamId, LoadEstimate>,
-    private val averages: Map<UpstreamId, Double>,
-    public val basis: LoadBasis,
-) {
-    /** Mean of the average loads of all upstreams, or 0 for an empty pool. */
-    public val mean: Double = if (averages.isEmpty()) 0.0 else averages.values.average()
-
-    /** Whether the fleet is too large to exchange counts and at least one upstream reports its load. */
-    public val areReported: Boolean =
-        basis == LoadBasis.REPORTS && estimates.values.any { it.source == LoadSource.REPORT }
-
-    public operator fun get(upstream: UpstreamId): LoadEstimate = estimates.getValue(upstream)
-
-    /** Returns the recent average load of [upstream]. */
-    public fun averageOf(upstream: UpstreamId): Double = averages.getValue(upstream)
-}
-
-/** Returns the loads of a pool for which no averages are known apart from [estimates]. */
-private fun poolLoads(estimates: Map<UpstreamId, LoadEstimate>, basis: LoadBasis) =
-    PoolLoads(estimates, estimates.mapValues { it.value.inFlight.toDouble() }, basis)
-
 /** Thread-safe. Times are milliseconds of a monotonic clock. */
-public class UpstreamLoads(private val activity: UpstreamActivity, private val nowMillis: () -> Long) {
+public class UpstreamLoads(
+    private val activity: UpstreamActivity,
+    private val correction: DispatchCorrection? = null,
+    private val nowMillis: () -> Long,
+) {
     private val reportedLoads = HashMap<UpstreamId, TimedLoad>()
     private val countsByRouter = HashMap<RouterId, RouterCounts>()
     private var expectedRouters: Set<RouterId>? = null
     private var reportCount = 0L
 
+    @Volatile
+    private var lastPool: PoolLoads? = null
+
+    /** Ratio of the highest to the mean load of the pool of the last recorded dispatch; 1 before the first one. */
+    public val imbalance: Double get() = lastPool?.imbalance ?: 1.0
+
     /** Returns the estimated loads of [pool]. */
     @Synchronized
     public fun estimates(pool: Collection<UpstreamId>): PoolLoads {
@@ -144,6 +55,7 @@
      */
     private fun estimatesFromReports(pool: Collection<UpstreamId>): PoolLoads {
         val reports = freshLoads(pool)
+        if (correction?.isActive?.invoke() == true) return correctedEstimates(pool, reports, correction)
         val estimates = pool.associateWith { estimate(it, reports[it], loadWithoutReport = 0) }
         val averages =
             pool.associateWith {
@@ -155,6 +67,25 @@
         return PoolLoads(estimates, averages, LoadBasis.REPORTS)
     }
 
+    /** Estimates whose averages are the loads expected at present, without the requests in whose responses they were reported. */
+    private fun correctedEstimates(
+        pool: Collection<UpstreamId>,
+        reports: Map<UpstreamId, TimedLoad>,
+        correction: DispatchCorrection,
+    ): PoolLoads {
+        val dispatches = correction.dispatchesTo(pool, pool.sumOf { activity.inFlight(it) })
+        val mean = if (pool.isEmpty()) 0.0 else reports.values.sumOf { it.average } / pool.size
+        val expected =
+            reports.mapValues { (upstream, report) ->
+                val average = dispatches.expectedAverage(upstream, report.average, mean)
+                expectedLoad(upstream, report, average, dispatches.meanMillisInFlight)
+            }
+        val estimates = pool.associateWith { estimate(it, reports[it], loadWithoutReport = 0, expected[it]) }
+        val averages =
+            pool.associateWith { maxOf(activity.inFlight(it).toDouble(), (expected[it] ?: 0.0) - 1) }
+        return PoolLoads(estimates, averages, LoadBasis.REPORTS)
+    }
+
     /**
      * Estimates until the missing counts arrive. An upstream without a recent report counts as average, so that the routers do
      * not all send to it at once.
@@ -172,17 +103,31 @@
         return reports
     }
 
-    /** The older a report, the closer the load is expected to be to the average of its upstream. */
-    private fun estimate(upstream: UpstreamId, report: TimedLoad?, loadWithoutReport: Int): LoadEstimate {
+    private fun estimate(
+        upstream: UpstreamId,
+        report: TimedLoad?,
+        loadWithoutReport: Int,
+        expectedLoad: Double? = null,
+    ): LoadEstimate {
         val own = activity.inFlight(upstream)
         if (report == null) return LoadEstimate(maxOf(own, loadWithoutReport), LoadSource.NO_REPORT, 0)
         val ageMillis = nowMillis() - report.atMillis
-        val difference = currentLoad(upstream, report) - report.average
-        val expected = report.average + difference * exp(-ageMillis / LOAD_TIME_CONSTANT_MILLIS)
+        val expected = expectedLoad ?: expectedLoad(upstream, report, report.average, LOAD_TIME_CONSTANT_MILLIS)
         val waiting = report.observation.waiting
         return LoadEstimate(maxOf(own, expected.roundToInt()), LoadSource.REPORT, ageMillis, waiting)
     }
 
+    /** The older a report, the closer the load is expected to be to the [average] of its upstream. */
+    private fun expectedLoad(
+        upstream: UpstreamId,
+        report: TimedLoad,
+        average: Double,
+        timeConstantMillis: Double,
+    ): Double {
+        val difference = currentLoad(upstream, report) - average
+        return average + difference * exp(-(nowMillis() - report.atMillis) / timeConstantMillis)
+    }
+
     /** Returns the load of [upstream] that was [reported], plus the requests that this router has sent since. */
     private fun currentLoad(upstream: UpstreamId, reported: TimedLoad): Int {
         val own = activity.inFlight(upstream)
@@ -204,6 +149,20 @@
         return ReportId(1 + Math.floorMod(hash.asLong, REPORT_IDS))
     }
 
+    /** Records that this router sends a request to [upstream], which was chosen by [poolLoads]. */
+    public fun recordDispatch(upstream: UpstreamId, poolLoads: PoolLoads) {
+        lastPool = poolLoads
+        if (poolLoads.basis == LoadBasis.REPORTS) correction?.record(upstream)
+    }
+
+    /** Returns the recent dispatches of this router, to be gossiped; empty unless they are used. */
+    public fun recentDispatches(): Map<UpstreamId, Int> = correction?.recent().orEmpty()
+
+    /** Adds the recent dispatches that [sender] has gossiped. */
+    public fun mergeDispatches(sender: RouterId, dispatches: Map<UpstreamId, Int>) {
+        correction?.receive(sender, dispatches)
+    }
+
     /** Adds observations forwarded by a peer. */
     public fun merge(observations: List<LoadObservation>) {
         val now = nowMillis()
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -46,6 +46,7 @@
             )
         popularity.record(prompt)
         val chosen = selectionFor(poolLoads.basis).select(choice)
+        loads.recordDispatch(chosen.upstream.id, poolLoads)
         if (chosen.load.inFlight + 1 > bound * HIGH_LOAD_FRACTION) dependencies.onHighLoad()
         val source = sourceFor(prompt, chosen, cachedTokens, sources)
         val sourceTokens = source?.let { cachedTokens[it.id] } ?: 0
@@ -75,7 +76,7 @@
             "last shared part ${prompt.sharedParts.lastOrNull()?.id}, replicas ${choice.replicas}; " +
             "${chosen.load.description}, load bound ${bound.toInt()}, " +
             "$below of ${engines.size} candidate engines below it, $total on all of them, " +
-            "average ${rounded(chosen.averageLoad)}, mean of the candidates ${rounded(choice.meanLoad)}"
+            "average ${rounded(chosen.averageLoad)}, mean of the candidates ${rounded(choice.meanLoad)}" + imbalanceText()
     }
 
     /** Returns whether [prompt] has shared parts and no engine has cached all of them. */
@@ -112,7 +113,7 @@
     private fun selectionFor(basis: LoadBasis): EngineSelection =
         when (basis) {
             LoadBasis.EXCHANGED_COUNTS, LoadBasis.MISSING_COUNTS -> cheapestEngineSelection
-            LoadBasis.REPORTS -> loadShareSelection
+            LoadBasis.REPORTS -> if (dependencies.isLoadAware()) evenLoadSelection else loadShareSelection
         }
 
     /**
@@ -151,6 +152,10 @@
             ?: if (cachedTokens.isEmpty()) others.maxByOrNull { rendezvousRank(prompt.sharedParts, it.id) } else null
     }
 
+    /** Returns the part of the explanation on how even the load of the pool is, if that decides. */
+    private fun imbalanceText(): String =
+        if (dependencies.isLoadAware()) ", highest average ${rounded(loads.imbalance)} times the mean" else ""
+
     private fun rounded(load: Double): String = "%.1f".format(Locale.ROOT, load)
 
     private companion object {
--- a/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
+++ b/src/test/kotlin/org/primrosesill/placement/PlacementReplay.kt
@@ -13,6 +13,7 @@
 import org.primrosesill.forwarding.testUpstream
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
+import org.primrosesill.load.DispatchCorrection
 import org.primrosesill.load.LoadObservation
 import org.primrosesill.load.ReportedLoad
 import org.primrosesill.load.SilenceReport
@@ -77,6 +78,9 @@
     val arrivals = HashMap<UpstreamId, MutableList<Long>>()
     val rejected = mutableListOf<Long>()
 
+    /** The ratio of the busiest engine's load to the mean at the arrival of each request, with its time in milliseconds. */
+    val loadRatios = mutableListOf<Pair<Long, Double>>()
+
     private companion object {
         /** Fewer requests over the bound in one window are not significant. */
         const val MINIMUM_OVER_LOAD_BOUND = 20
@@ -105,6 +109,7 @@
     private val latencyTargetMillis: Long = 800,
     private val countDelayMillis: Long = 40,
     private val lateNews: LateNews = LateNews.NONE,
+    private val isLoadAware: Boolean = false,
 ) {
     private val random = Random(seed)
     private var now = 0L
@@ -126,6 +131,8 @@
         val loads: List<LoadObservation>,
         val parts: PartsByEngine,
         val silent: List<SilenceReport>,
+        val sender: RouterId,
+        val dispatches: Map<UpstreamId, Int>,
     )
 
     /** Routers are distributed over the zones of the engines in turn. */
@@ -140,19 +147,27 @@
                 isComplete = true,
             )
         val loads =
-            UpstreamLoads(activity) { now }.also {
+            UpstreamLoads(activity, DispatchCorrection({ isLoadAware }, { now })) { now }.also {
                 if (count <= SMALL_FLEET_GATEWAYS) it.expectCounts(members.others)
             }
         val silent = SilentUpstreams("r$number", activity) { now }
         val member =
             Member(RouterId("router-$number"), "10.0.0.$number:80", zone, 0, 1, MemberState.LIVE)
 
-        fun message() = RouterMessage(loads.recentObservations(), index.recentUpdates(), silent.reports())
+        fun message() =
+            RouterMessage(
+                loads.recentObservations(),
+                index.recentUpdates(),
+                silent.reports(),
+                members.self,
+                loads.recentDispatches(),
+            )
 
         fun receive(message: RouterMessage) {
             loads.merge(message.loads)
             index.merge(message.parts)
             silent.addReports(message.silent)
+            loads.mergeDispatches(message.sender, message.dispatches)
         }
 
         val placement =
@@ -169,6 +184,7 @@
                     { at(now + countDelayMillis) { sendCounts(this) } },
                     { now },
                     Random(seed + number),
+                    isLoadAware = { isLoadAware },
                 ),
             )
     }
@@ -332,6 +348,7 @@
         result.requests++
         val mean = engines.values.sumOf { it.inFlight }.toDouble() / engines.size
         val over = engine.inFlight > 2 * mean + 3
+        if (mean > 0) result.loadRatios += now to engines.values.maxOf { it.inFlight } / mean
         if (over) {
             result.overLoadBound++
             result.overLoadBoundByAge.merge(ageOf(engine), 1, Int::plus)
