--- a/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
@@ -66,6 +66,7 @@
             observedSlowness = encodeSlowness(observations),
             observedWaiting = encodeWaiting(observations),
             serviceCounts = encodeServiceCounts(services.uses()),
+            recentDispatches = encodeDispatches(loads.recentDispatches()),
             heldParts = if (parts.isEmpty()) null else heldPartsOf(parts),
         )
     }
@@ -122,6 +123,7 @@
         val observations = observationsIn(message)
         loads.merge(observations)
         speeds.merge(observations)
+        message.sender?.let { loads.mergeDispatches(it, decodeDispatches(message.recentDispatches, upstreamsByCode)) }
         silentUpstreams.addReports(message.silentUpstreams.chunked(SILENCE_ENTRY_LENGTH).mapNotNull(::decodeSilence))
         services.merge(decodeServiceCounts(message.serviceCounts, upstreamsByCode))
         message.heldParts?.let { index.merge(partsOf(it)) }
--- a/src/test/kotlin/org/primrosesill/gateway/SlownessGossipTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/SlownessGossipTest.kt
@@ -165,7 +165,7 @@
 /** The tables of one gateway that take part in gossip on the speed of engines. */
 private class SpeedGateway(gossipsSpeed: Boolean, nowMillis: () -> Long) {
     private val activity = UpstreamActivity(nowMillis)
-    val loads = UpstreamLoads(activity, nowMillis)
+    val loads = UpstreamLoads(activity, nowMillis = nowMillis)
     val speeds = upstreamSpeeds({ true }, nowMillis)
     private val index = PromptCacheIndex(nowMillis)
     private val silent = SilentUpstreams("self", activity, nowMillis)
