--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -51,8 +51,8 @@
         override val description = "not sent: $reason"
     }
 
-    /** The request reached the upstream, which did not execute it. */
-    class NotRun(val reason: String) : AttemptOutcome {
+    /** The request reached the upstream, which did not execute it; [isFull] if it had no capacity left. */
+    class NotRun(val reason: String, val isFull: Boolean = false) : AttemptOutcome {
         override val description = "not run: $reason"
     }
 
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -36,7 +36,12 @@
         recordNotices(metadata, upstream, context)
         val success = response.status in SUCCESS_STATUSES
         return when {
-            metadata.notRun -> AttemptOutcome.NotRun("status ${response.status}")
+            metadata.notRun ->
+                AttemptOutcome.NotRun(
+                    "status ${response.status}",
+                    isFull =
+                        response.status in FULL_STATUSES,
+                )
             metadata.contentEncoded -> AttemptOutcome.Unknown("response body has a content encoding")
             !metadata.signed -> AttemptOutcome.Unknown("status ${response.status} without a signature")
             success && context.route.kind == RouteKind.STREAM && isEventStream(response) ->
@@ -177,6 +182,7 @@
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
+        val FULL_STATUSES = setOf(429, 503)
         const val EVENT_STREAM = "text/event-stream"
         const val MAXIMUM_LOGGED_CHARACTERS = 64
 
--- a/src/main/kotlin/org/primrosesill/load/ServiceConcurrency.kt
+++ b/src/main/kotlin/org/primrosesill/load/ServiceConcurrency.kt
@@ -60,6 +60,7 @@
 public class ServiceConcurrency(private val ownCode: String, private val nowMillis: () -> Long) {
     private val records = HashMap<UpstreamId, Record>()
     private val received = HashMap<String, ReceivedUse>()
+    private var othersSum = OthersSum(emptyMap(), scale = 0.0, atMillis = 0)
 
     /** Estimated requests of all gateways in progress at all small services to which this gateway sends requests. */
     public val requestsInProgress: Double
@@ -79,16 +80,13 @@
 
     private fun loadsOf(service: Collection<UpstreamId>): Map<UpstreamId, ServiceLoad> {
         val now = nowMillis()
-        received.values.removeIf { now - it.atMillis > GATEWAY_EXPIRY_MILLIS }
-        val fresh = received.values.filter { now - it.atMillis <= USE_EXPIRY_MILLIS }
-        // Gateways whose use has expired are assumed to have as many requests as the others have on average.
-        val scale = if (fresh.isEmpty()) 0.0 else minOf(received.size.toDouble() / fresh.size, MAXIMUM_SCALE)
+        if (now - othersSum.atMillis >= SUM_EXPIRY_MILLIS) othersSum = sumOfOthers(now)
         return service.associateWith { upstream ->
             val record = records.getValue(upstream)
-            val others = fresh.mapNotNull { it.upstreams[upstream] }.fold(UpstreamUse(0.0, 0.0), UpstreamUse::plus)
+            val others = othersSum.upstreams[upstream] ?: NO_USE
             ServiceLoad(
                 record.inProgress,
-                others.inProgress * scale,
+                others.inProgress * othersSum.scale,
                 others + record.average(now),
                 record.fullFor(now),
                 record.sinceRejection(now),
@@ -96,6 +94,18 @@
         }
     }
 
+    private fun sumOfOthers(nowMillis: Long): OthersSum {
+        received.values.removeIf { nowMillis - it.atMillis > GATEWAY_EXPIRY_MILLIS }
+        val fresh = received.values.filter { nowMillis - it.atMillis <= USE_EXPIRY_MILLIS }
+        val sums = HashMap<UpstreamId, UpstreamUse>()
+        fresh.forEach { use ->
+            use.upstreams.forEach { (upstream, added) -> sums.merge(upstream, added, UpstreamUse::plus) }
+        }
+        // Gateways whose use has expired are assumed to have as many requests as the others have on average.
+        val scale = if (fresh.isEmpty()) 0.0 else minOf(received.size.toDouble() / fresh.size, MAXIMUM_SCALE)
+        return OthersSum(sums, scale, nowMillis)
+    }
+
     /** Records that a request of this gateway was sent to [upstream]. */
     @Synchronized
     public fun recordStart(upstream: UpstreamId) {
@@ -161,6 +171,13 @@
         records.keys.retainAll(known)
     }
 
+    /**
+     * The sum of the received uses that have not expired.
+     *
+     * @property scale the number of all other gateways that use services, relative to those in the sum
+     */
+    private class OthersSum(val upstreams: Map<UpstreamId, UpstreamUse>, val scale: Double, val atMillis: Long)
+
     private class ReceivedUse(val upstreams: Map<UpstreamId, UpstreamUse>, val atMillis: Long)
 
     private class Record {
@@ -168,7 +185,7 @@
         var usedAtMillis = 0L
         var inProgress = 0
         var rejectedAtMillis: Long? = null
-        private var average = UpstreamUse(0.0, 0.0)
+        private var average = NO_USE
         private var averagedAtMillis = 0L
         private var meanResponseMillis: Double? = null
 
@@ -213,11 +230,15 @@
         /** Time after which a gateway without news no longer counts. Membership usually removes it before. */
         const val GATEWAY_EXPIRY_MILLIS = 6_000L
 
+        /** Bounds the work for a request: a sum over 330 gateways is not computed for each. */
+        const val SUM_EXPIRY_MILLIS = 50L
+
         /** Bounds the error when only a few of the gateways are heard. */
         const val MAXIMUM_SCALE = 4.0
 
         /** Time after the last request of this gateway to a service for which its use is sent. */
         const val SERVICE_EXPIRY_MILLIS = 10_000L
+        val NO_USE = UpstreamUse(0.0, 0.0)
         const val RESPONSE_WEIGHT = 0.2
         const val DEFAULT_RESPONSE_MILLIS = 50.0
 
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -8,6 +8,7 @@
 import org.primrosesill.discovery.PlatformRevision
 import org.primrosesill.discovery.UpstreamRegistration
 import org.primrosesill.generated.EventType
+import org.primrosesill.load.ServiceConcurrency
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
@@ -141,6 +142,7 @@
     val view = directoryView(configuration, upstreams)
     val activity = UpstreamActivity(activityClock ?: { nowMillis })
     val notices = UpstreamNotices({ 2_000 }, { 0 })
+    val services = ServiceConcurrency(ownCode = "self") { nowMillis }
     val handler =
         forwarder(
             ForwarderDependencies(
@@ -163,6 +165,7 @@
                 client = client,
                 metrics = NoForwardingMetrics,
                 events = { type, _, _, cause -> events += type to cause },
+                services = services,
             ),
         )
 
--- a/src/test/kotlin/org/primrosesill/gateway/ServiceCountGossipTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ServiceCountGossipTest.kt
@@ -70,6 +70,7 @@
         services.merge(listOf(use(1, ageMillis = 500, inProgress = 7.0)))
         expectThat(others()).isEqualTo(3.0)
         services.retainGateways(setOf(shortCode("gateway-1")))
+        now += 50
         expectThat(others()).isEqualTo(2.0)
         now += 1_301
         expectThat(others()).isEqualTo(0.0)
