--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -9,6 +9,7 @@
 import org.primrosesill.discovery.UpstreamRegistration
 import org.primrosesill.generated.EventType
 import org.primrosesill.load.SpeedObservations
+import org.primrosesill.load.ServiceConcurrency
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
@@ -146,6 +147,7 @@
     val activity = UpstreamActivity(activityClock ?: { nowMillis })
     val notices = UpstreamNotices({ 2_000 }, { 0 })
     val loads = UpstreamLoads(activity) { nowMillis }
+    val services = ServiceConcurrency(ownCode = "self") { nowMillis }
     val handler =
         forwarder(
             ForwarderDependencies(
@@ -171,6 +173,7 @@
                 nowMillis = { nowMillis },
                 isLoadAware = { isLoadAware },
                 speeds = speeds,
+                services = services,
             ),
         )
 
