--- a/src/main/kotlin/org/primrosesill/load/DispatchCorrection.kt
+++ b/src/main/kotlin/org/primrosesill/load/DispatchCorrection.kt
@@ -47,13 +47,14 @@
     @Synchronized
     internal fun dispatchesTo(pool: Collection<UpstreamId>, ownInFlight: Int): PoolDispatches {
         removeExpired()
-        val members = pool.toHashSet()
-        val dispatched = own.count { it.upstream in members }
-        val counts = HashMap<UpstreamId, Int>()
-        recent().forEach { (upstream, count) -> counts.merge(upstream, count, Int::plus) }
-        received.values.forEach { it.dispatches.forEach { (upstream, count) -> counts.merge(upstream, count, Int::plus) } }
-        counts.keys.retainAll(members)
-        return PoolDispatches(counts, pool.size, meanMillisInFlight(ownInFlight, dispatched))
+        val ownCounts = own.groupingBy { it.upstream }.eachCount()
+        val dispatched = pool.sumOf { ownCounts[it] ?: 0 }
+        val counts = HashMap(recent())
+        for (dispatches in received.values.map { it.dispatches }) {
+            dispatches.forEach { (upstream, count) -> counts.merge(upstream, count, Int::plus) }
+        }
+        val mean = if (pool.isEmpty()) 0.0 else pool.sumOf { counts[it] ?: 0 }.toDouble() / pool.size
+        return PoolDispatches(counts, mean, meanMillisInFlight(ownInFlight, dispatched))
     }
 
     /** Little's law: the requests in flight are those that were dispatched within the mean time that one is in flight. */
@@ -77,7 +78,7 @@
     private companion object {
         const val GOSSIP_WINDOW_MILLIS = 1_000L
 
-        /** Several times the time that requests are in flight, so that few dispatches give a steady mean. */
+        /** A router of a fleet of 64 dispatches about 6 requests a second, and a steady mean needs dozens. */
         const val OWN_WINDOW_MILLIS = 5_000L
 
         /** Bounds the memory, which is 24 bytes for each dispatch. */
@@ -96,14 +97,15 @@
 /**
  * The recent dispatches to a pool that a router knows.
  *
+ * @property counts known dispatches to each upstream; absent without any
+ * @property mean mean of the counts of all upstreams of the pool
  * @property meanMillisInFlight time constant with which a load returns to its average
  */
 internal class PoolDispatches(
     private val counts: Map<UpstreamId, Int>,
-    private val poolSize: Int,
+    private val mean: Double,
     val meanMillisInFlight: Double,
 ) {
-    private val mean = if (poolSize == 0) 0.0 else counts.values.sum().toDouble() / poolSize
     private val weight = mean / (mean + PRIOR_DISPATCHES)
 
     /**
--- a/src/main/kotlin/org/primrosesill/load/PoolLoads.kt
+++ b/src/main/kotlin/org/primrosesill/load/PoolLoads.kt
@@ -53,7 +53,8 @@
 /**
  * The estimated loads of all upstreams of a pool.
  *
- * @param averages the recent average load of each upstream; equal to its estimate where counts are exchanged
+ * @param averages the recent average load of each upstream, or the one expected at present if reports are corrected by
+ *     dispatches; equal to its estimate where counts are exchanged
  */
 public class PoolLoads(
     private val estimates: Map<UpstreamId, LoadEstimate>,
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -76,7 +76,8 @@
             "last shared part ${prompt.sharedParts.lastOrNull()?.id}, replicas ${choice.replicas}; " +
             "${chosen.load.description}, load bound ${bound.toInt()}, " +
             "$below of ${engines.size} candidate engines below it, $total on all of them, " +
-            "average ${rounded(chosen.averageLoad)}, mean of the candidates ${rounded(choice.meanLoad)}" + imbalanceText()
+            "average ${rounded(chosen.averageLoad)}, mean of the candidates ${rounded(choice.meanLoad)}" +
+            imbalanceText()
     }
 
     /** Returns whether [prompt] has shared parts and no engine has cached all of them. */
--- a/src/test/kotlin/org/primrosesill/placement/EvenLoadTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/EvenLoadTest.kt
@@ -69,7 +69,11 @@
         val engines = PlacementReplay.engines(case.engines)
         val replay = PlacementReplay(Policy.PRODUCT, case.routers, engines, seed, 400, isLoadAware = isLoadAware)
         val result = replay.play(load)
-        val ratio = result.loadRatios.filter { it.first >= WARM_UP_MILLIS }.map { it.second }.average()
+        val ratio =
+            result.loadRatios
+                .filter { it.first >= WARM_UP_MILLIS }
+                .map { it.second }
+                .average()
         val shared = load.sumOf { request -> request.prompt.sharedTokens.toLong() }
         val cached = 1 - (result.tokensPrefilledAgain + result.tokensFetched).toDouble() / shared
         val over = result.overLoadBound.toDouble() / result.requests
