--- a/src/test/kotlin/org/primrosesill/placement/SlownessPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/SlownessPlacementTest.kt
@@ -48,7 +48,14 @@
             CostCase("a loaded engine", slowness = 1.0, load = 200, isCheaper = true),
             CostCase("a loaded engine that is slow", slowness = 2.5, load = 200, isCheaper = false),
             CostCase("20,000 tokens to prefill, 35 tokens/ms", 1.0, 0, pendingTokens = 20_000, isCheaper = false),
-            CostCase("20,000 tokens to prefill, 92 tokens/ms", 1.0, 0, pendingTokens = 20_000, rate = 92.0, isCheaper = true),
+            CostCase(
+                "20,000 tokens to prefill, 92 tokens/ms",
+                1.0,
+                0,
+                pendingTokens = 20_000,
+                rate = 92.0,
+                isCheaper = true,
+            ),
         ).map { case ->
             dynamicTest(case.name) {
                 val inputs = PromptCostInputs(9_200, 8_620, 606.milliseconds, 1_000, zone, case.rate)
