--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -8,8 +8,8 @@
 import org.primrosesill.discovery.PlatformRevision
 import org.primrosesill.discovery.UpstreamRegistration
 import org.primrosesill.generated.EventType
-import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.ServiceConcurrency
+import org.primrosesill.load.SpeedObservations
 import org.primrosesill.load.UpstreamActivity
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
--- a/src/test/kotlin/org/primrosesill/placement/SlownessPlacementTest.kt
+++ b/src/test/kotlin/org/primrosesill/placement/SlownessPlacementTest.kt
@@ -28,6 +28,9 @@
 private const val REQUESTS = 300
 private val zone = AvailabilityZoneId("a")
 
+/** One more than a small service has, as these are selected by their response times. */
+private const val PLAIN_UPSTREAMS = 9
+
 class SlownessPlacementTest {
     private class CostCase(
         val name: String,
@@ -77,6 +80,8 @@
             slowness,
         )
 
+    private val oneSlow = List(PLAIN_UPSTREAMS) { if (it == 0) 7.0 else 1.0 }
+
     private class PlainCase(
         val name: String,
         val slowness: List<Double>,
@@ -89,9 +94,9 @@
     @TestFactory
     fun `plain requests avoid a slow upstream only`(): List<DynamicTest> =
         listOf(
-            PlainCase("one is slow", listOf(7.0, 1.0, 1.0, 1.0), avoids = true),
-            PlainCase("all are equally slow", List(4) { 7.0 }, avoids = false),
-            PlainCase("one is slow, setting off", listOf(7.0, 1.0, 1.0, 1.0), enabled = false, avoids = false),
+            PlainCase("one is slow", oneSlow, avoids = true),
+            PlainCase("all are equally slow", List(PLAIN_UPSTREAMS) { 7.0 }, avoids = false),
+            PlainCase("one is slow, setting off", oneSlow, enabled = false, avoids = false),
         ).map { case ->
             dynamicTest("${case.name}, seed $SEED") {
                 val choices = choices(case.slowness, case.enabled)
@@ -101,7 +106,7 @@
         }
 
     private fun choices(slowness: List<Double>, enabled: Boolean): List<String> {
-        val upstreams = List(4) { testUpstream("upstream-$it", enginePool) }
+        val upstreams = List(PLAIN_UPSTREAMS) { testUpstream("upstream-$it", enginePool) }
         val speeds = upstreamSpeeds({ enabled }, { 0 })
         slowness.forEachIndexed { index, value -> speeds.recordReported(upstreams[index].id, value, ReportId(1)) }
         val activity = UpstreamActivity { 0 }
@@ -124,7 +129,8 @@
                     { 0 },
                     Random(SEED),
                     speeds,
-                ) { enabled },
+                    isLoadAware = { enabled },
+                ),
             )
         val view =
             DirectoryView(
