Block a prompt part only if chance does not explain its crashes

Cause: a part was blocked once three engines had crashed with it in flight, also when many engines crashed together, and one crash after the last completion kept it blocked for ten minutes. Change: a part counts as the cause if nearly no other engine crashed meanwhile, or if it was in flight at more of them than expected (isBeyondChance). A completion that leaves too little evidence unblocks a part.

--- a/src/main/kotlin/org/primrosesill/placement/CrashingParts.kt
+++ b/src/main/kotlin/org/primrosesill/placement/CrashingParts.kt
@@ -2,8 +2,8 @@
  * Detects prompt parts that crash the engines that serve them (queries of death), so that requests with them are rejected.
  *
  * A request that loses its connection to an engine is evidence against all its shared parts, and a completed request clears
- * its parts. A part is blocked once several engines have crashed on it and none has completed a request with it since.
- * Requests that merely were in flight at a crashed engine share their parts with others that complete. Routers exchange the
+ * its parts. A part is blocked once several engines have crashed on it, none has completed a request with it since, and chance
+ * does not explain that it was in flight at them ([isBeyondChance]): engines also crash together, whatever they serve. Requests that merely were in flight at a crashed engine share their parts with others that complete. Routers exchange the
  * evidence, as each of them sees only a few of the requests, and each decides by itself.
  *
  * Load pattern: requests with one part crash an engine each, seconds apart, at any router; their other parts are popular.
@@ -17,6 +17,7 @@
 public class CrashingParts(private val nowMillis: () -> Long) {
     private val suspects = HashMap<PartCode, SuspectPart>()
     private val completedAtMillis = RecentCompletions()
+    private val engineCrashes = RecentCrashes()
     private val changes = ArrayList<PartBlockChange>()
 
     /** Parts of which peers should receive the evidence without waiting for a round of the exchange. */
@@ -95,10 +96,13 @@
     private fun reportsOf(part: PartCode, suspect: SuspectPart): List<CrashReport> =
         suspect.recorded.map { CrashReport(part, suspect.position, it.engine, nowMillis() - it.atMillis) }
 
-    /** Returns the parts that were blocked or unblocked since the last call. */
+    /**
+     * Returns the parts that were blocked or unblocked since the last call. Evidence that became sufficient since no peer has
+     * refuted it is considered as well.
+     */
     @Synchronized
     public fun drainChanges(): List<PartBlockChange> {
-        removeExpired()
+        if (suspects.isNotEmpty()) decide()
         return changes.toList().also { changes.clear() }
     }
 
@@ -108,17 +112,20 @@
      */
     private fun addCrash(part: PartCode, position: Int, crash: Crash) {
         if (crash.atMillis <= nowMillis() - BLOCK_MILLIS) return
+        engineCrashes.record(crash)
         val suspect = suspects.getOrPut(part) { SuspectPart(position, nowMillis()) }
         val refuted = crash.atMillis <= (completedAtMillis[part] ?: Long.MIN_VALUE)
         if (!refuted && suspect.add(crash)) suspect.changedAtMillis = nowMillis()
         if (suspects.size > MAXIMUM_SUSPECTS) removeOldest()
     }
 
-    /** Removes the evidence against [part] from before [completedMillis]. */
+    /** Removes the evidence against [part] from before [completedMillis], and unblocks it if the rest would not block it. */
     private fun clear(part: PartCode, completedMillis: Long) {
         completedAtMillis.record(part, completedMillis)
         val suspect = suspects[part] ?: return
-        if (suspect.removeUntil(completedMillis)) suspect.changedAtMillis = nowMillis()
+        if (!suspect.removeUntil(completedMillis)) return
+        suspect.changedAtMillis = nowMillis()
+        if (part in blocked && !isSufficient(part, suspect)) unblock(part)
     }
 
     private fun removeOldest() {
@@ -146,14 +153,48 @@
     }
 
     private fun isSufficient(part: PartCode, suspect: SuspectPart): Boolean {
-        val unexplained = unexplainedCrashes(suspect)
+        if (suspect.recorded.size < MINIMUM_CRASHES) return false
+        val unexplained = suspect.recorded.filterNot { isExplained(it, part) }
         val crashes = unexplained.filter { it.atMillis > unexplained.last().atMillis - CRASH_EXPIRY_MILLIS }
         val minimumSpan = if (completedAtMillis[part] == null) MINIMUM_SPAN_MILLIS else COMPLETED_MINIMUM_SPAN_MILLIS
-        return crashes.size >= MINIMUM_CRASHES && crashes.last().atMillis - crashes.first().atMillis >= minimumSpan
+        return crashes.size >= MINIMUM_CRASHES &&
+            crashes.last().atMillis - crashes.first().atMillis >= minimumSpan &&
+            isBeyondChance(crashesOf(part, crashes))
+    }
+
+    /** Returns what [isBeyondChance] decides by, for the [crashes] at requests with [part] in the order of their time. */
+    private fun crashesOf(part: PartCode, crashes: List<Crash>): CrashesOfPart {
+        val period = crashes.first().atMillis - BURST_MILLIS..crashes.last().atMillis + BURST_MILLIS
+        val others =
+            engineCrashes.during(period).count { crash -> crashes.none(crash::isSameAs) && !isExplained(crash, part) }
+        val isUnknownToPeers =
+            completedAtMillis[part] == null && crashes.first().atMillis <= nowMillis() - COMPLETED_MINIMUM_SPAN_MILLIS
+        return CrashesOfPart(
+            momentsOf(crashes),
+            crashes.size,
+            crashes.size + others,
+            if (isUnknownToPeers) RARE_PRESENCE else POPULAR_PRESENCE,
+        )
     }
 
+    /** Returns the number of times at which engines crashed, where crashes within [MOMENT_MILLIS] count as one. */
+    private fun momentsOf(crashes: List<Crash>): Int {
+        var moments = 0
+        var beganAtMillis = Long.MIN_VALUE / 2
+        for (crash in crashes) {
+            if (crash.atMillis - beganAtMillis < MOMENT_MILLIS) continue
+            beganAtMillis = crash.atMillis
+            moments++
+        }
+        return moments
+    }
+
+    /** Returns whether a blocked part other than [part] was in flight at the engine of [crash]. */
+    private fun isExplained(crash: Crash, part: PartCode?): Boolean =
+        blocked.any { it != part && suspects[it]?.includes(crash) == true }
+
     private fun unexplainedCrashes(suspect: SuspectPart): List<Crash> =
-        suspect.recorded.filterNot { crash -> blocked.any { suspects[it]?.includes(crash) == true } }
+        suspect.recorded.filterNot { isExplained(it, null) }
 
     /**
      * Orders parts by how likely they crash engines. Of two parts that were in the same requests, the one that no request
@@ -175,6 +216,12 @@
             PartBlockChange(part, isBlocked = true, "engines crashed on it and none has completed it since: $crashes")
     }
 
+    private fun unblock(part: PartCode) {
+        blocked = blocked - part
+        val cause = "no sufficient evidence is left: a request with it completed, or it expired"
+        changes += PartBlockChange(part, isBlocked = false, cause)
+    }
+
     /** Removes expired crashes, unblocks parts without any, and removes parts of which peers need no more reports. */
     private fun removeExpired() {
         val now = nowMillis()
@@ -186,15 +233,7 @@
                 suspect.removeUntil(last.atMillis)
             }
         }
-        for (part in blocked.filter { suspects[it]?.recorded.isNullOrEmpty() }) {
-            blocked = blocked - part
-            changes +=
-                PartBlockChange(
-                    part,
-                    isBlocked = false,
-                    "no evidence is left: a request with it completed, or it expired",
-                )
-        }
+        blocked.filter { suspects[it]?.recorded.isNullOrEmpty() }.forEach(::unblock)
         suspects.values.removeIf { it.recorded.isEmpty() && it.changedAtMillis < now - REPEAT_MILLIS }
     }
 
@@ -212,6 +251,20 @@
         const val COMPLETED_MINIMUM_SPAN_MILLIS = 3_000L
         const val CRASH_EXPIRY_MILLIS = 60_000L
 
+        /** Crashes that begin within this time of each other are one crash burst. */
+        const val BURST_MILLIS = 1_000L
+
+        /** Gateways detect crashes of one moment within about a tenth of a second of each other. */
+        const val MOMENT_MILLIS = 150L
+
+        /**
+         * Upper bounds of the probability that a sound part is in flight at an engine. A part that is in flight at a third of
+         * the engines is completed often enough that its requests clear it. Once all gateways have had the time to report their
+         * completions and none has any, the part is rare.
+         */
+        const val POPULAR_PRESENCE = 0.35
+        const val RARE_PRESENCE = 0.01
+
         /** Time since the last crash for which a part stays blocked. */
         const val BLOCK_MILLIS = 600_000L
 
@@ -224,23 +277,3 @@
         const val MAXIMUM_SENT_REPORTS = 200
     }
 }
-
-/** When a request with a part was last completed, for the [MAXIMUM_PARTS] parts of the latest requests. */
-private class RecentCompletions {
-    private val atMillis =
-        object : LinkedHashMap<PartCode, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: Map.Entry<PartCode, Long>) = size > MAXIMUM_PARTS
-        }
-
-    operator fun get(part: PartCode): Long? = atMillis[part]
-
-    fun record(part: PartCode, completedMillis: Long) {
-        atMillis.merge(part, completedMillis, ::maxOf)
-    }
-
-    private companion object {
-        const val MAXIMUM_PARTS = 4_096
-        const val INITIAL_CAPACITY = 256
-        const val LOAD_FACTOR = 0.75f
-    }
-}
