--- a/src/main/kotlin/org/primrosesill/placement/CrashingParts.kt
+++ b/src/main/kotlin/org/primrosesill/placement/CrashingParts.kt
@@ -3,7 +3,8 @@
  *
  * A request that loses its connection to an engine is evidence against all its shared parts, and a completed request clears
  * its parts. A part is blocked once several engines have crashed on it, none has completed a request with it since, and chance
- * does not explain that it was in flight at them ([isBeyondChance]): engines also crash together, whatever they serve. Requests that merely were in flight at a crashed engine share their parts with others that complete. Routers exchange the
+ * does not explain that it was in flight at them ([isBeyondChance]): engines also crash together, whatever they serve.
+ * Requests that merely were in flight at a crashed engine share their parts with others that complete. Routers exchange the
  * evidence, as each of them sees only a few of the requests, and each decides by itself.
  *
  * Load pattern: requests with one part crash an engine each, seconds apart, at any router; their other parts are popular.
