--- a/src/main/kotlin/org/primrosesill/admission/PoolAdmission.kt
+++ b/src/main/kotlin/org/primrosesill/admission/PoolAdmission.kt
@@ -25,8 +25,8 @@
     public val slots: Int,
     public val slowness: Double = 1.0,
 ) {
-    /** Whether the engine has capacity to spare, as far as is known. */
-    internal val isFree: Boolean get() = running == null || (waiting == 0 && running * 2 < slots)
+    /** Whether the engine has a free slot and nothing waiting, or nothing recent is known of it. */
+    internal val isFree: Boolean get() = running == null || (waiting == 0 && running < slots)
 }
 
 /**
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
@@ -80,10 +80,12 @@
         if (!allowsReplacement || timeLeft() < minimumAttemptTime(route)) return false
         if (lastRejection != null && excluded.size + 1 >= MAXIMUM_UPSTREAMS) return false
         if (!canMeetDeadline(excluded + current)) return false
-        val placement = choose(excluded + current) as? PlacementResult.Chosen ?: return false
+        releaseReserved()
+        // The retry first, since a choice counts as a request to the upstream.
         if (!retries.tryAcquire()) return false
-        reserved = placement
-        return true
+        reserved = choose(excluded + current) as? PlacementResult.Chosen
+        if (reserved == null) retries.release()
+        return reserved != null
     }
 
     /** Returns what was reserved and not used. */
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -276,7 +276,7 @@
         dependencies.events.record(type, context.metadata.id, upstream, cause)
         dependencies.metrics.attempted(context.pool, outcome.javaClass.simpleName)
         if (outcome is AttemptOutcome.Delivered) dependencies.services.recordCompleted(upstream, duration)
-        if (outcome is AttemptOutcome.NotRun && outcome.isFull) dependencies.services.recordRejected(upstream)
+        if (outcome is AttemptOutcome.NotRun) dependencies.services.recordNotRun(upstream, outcome.isFull)
     }
 
     private companion object {
--- a/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
@@ -95,8 +95,9 @@
     }
 
     private suspend fun end(part: StreamPart.End): AttemptOutcome {
-        truncationReason()?.let { return interrupted(StreamPart.Interrupted(it, response.closeDelimited)) }
+        // Before the check for truncation, whose delay is none of the upstream.
         speed.recordEnd()
+        truncationReason()?.let { return interrupted(StreamPart.Interrupted(it, response.closeDelimited)) }
         startResponse()
         if (part.comments.isNotEmpty()) withTimeoutOrNull(context.timeLeft()) { callerResponse.write(part.comments) }
         callerResponse.finish()
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -90,7 +90,8 @@
     private val silentUpstreams = SilentUpstreams(shortCode(self.router.value), activity, ::monotonicMillis)
     private val crashingParts = CrashingParts(::monotonicMillis)
     private val services = ServiceConcurrency(shortCode(self.router.value), ::monotonicMillis)
-    private val trafficGossip = TrafficGossip(loads, index, silentUpstreams, crashingParts, services, speeds)
+    private val trafficGossip =
+        TrafficGossip(loads, index, silentUpstreams, crashingParts, services, speeds, ::isLoadAware)
     private val notices = UpstreamNotices({ settings.drainMillis.toLong() }, ::monotonicMillis)
     private val fleetView =
         AtomicReference(FleetView(FleetMembers(self.router, emptySet(), isComplete = false), FleetReachability()))
--- a/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/TrafficGossip.kt
@@ -41,6 +41,7 @@
     private val crashingParts: CrashingParts,
     private val services: ServiceConcurrency = ServiceConcurrency(ownCode = "") { 0 },
     private val speeds: SpeedObservations = UsualSpeeds,
+    private val isLoadAware: () -> Boolean = { true },
 ) {
     private var upstreamsByCode: Map<String, UpstreamId> = emptyMap()
 
@@ -63,8 +64,8 @@
             silentUpstreams = silentUpstreams.reports().joinToString("", transform = ::encode),
             observedLoads = observations.joinToString("", transform = ::encode),
             observedReports = observations.joinToString("") { shortNumber(it.reportNumber, REPORT_LENGTH) },
-            observedSlowness = encodeSlowness(observations),
-            observedWaiting = encodeWaiting(observations),
+            observedSlowness = if (isLoadAware()) encodeSlowness(observations) else "",
+            observedWaiting = if (isLoadAware()) encodeWaiting(observations) else "",
             serviceCounts = encodeServiceCounts(services.uses()),
             recentDispatches = encodeDispatches(loads.recentDispatches()),
             heldParts = if (parts.isEmpty()) null else heldPartsOf(parts),
--- a/src/main/kotlin/org/primrosesill/load/LearnedSpeeds.kt
+++ b/src/main/kotlin/org/primrosesill/load/LearnedSpeeds.kt
@@ -28,6 +28,12 @@
     override fun slowness(upstream: UpstreamId): Double =
         if (isEnabled()) upstreams[upstream]?.slowness(nowMillis()) ?: 1.0 else 1.0
 
+    override fun slownessOf(upstreams: List<UpstreamId>): DoubleArray {
+        if (!isEnabled()) return DoubleArray(upstreams.size) { 1.0 }
+        val now = nowMillis()
+        return DoubleArray(upstreams.size) { this.upstreams[upstreams[it]]?.slowness(now) ?: 1.0 }
+    }
+
     override fun prefillTokensPerMillisecond(pool: PoolId): Double =
         prefillRates[pool]?.takeIf { isEnabled() }?.tokensPerMillisecond ?: DEFAULT_PREFILL_TOKENS_PER_MILLISECOND
 
--- a/src/main/kotlin/org/primrosesill/load/ServiceConcurrency.kt
+++ b/src/main/kotlin/org/primrosesill/load/ServiceConcurrency.kt
@@ -12,6 +12,7 @@
 import kotlin.math.exp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /**
  * The requests of one gateway, or of several ones, at an upstream, as exponentially weighted averages.
@@ -121,13 +122,18 @@
     /** Records that [upstream] completed a request of this gateway in [duration]. */
     @Synchronized
     public fun recordCompleted(upstream: UpstreamId, duration: Duration) {
-        records[upstream]?.recordCompleted(duration.inWholeMilliseconds.toDouble())
+        records[upstream]?.recordCompleted(duration.toDouble(DurationUnit.MILLISECONDS))
     }
 
-    /** Records that [upstream] rejected a request of this gateway without running it. */
+    /**
+     * Records that [upstream] rejected a request of this gateway without running it, as it was full if [isFull]. Such a request
+     * does not count as started: a rejection takes no time, and would make the upstream seem fast.
+     */
     @Synchronized
-    public fun recordRejected(upstream: UpstreamId) {
-        records[upstream]?.rejectedAtMillis = nowMillis()
+    public fun recordNotRun(upstream: UpstreamId, isFull: Boolean) {
+        val record = records[upstream] ?: return
+        record.withdrawStart(nowMillis())
+        if (isFull) record.rejectedAtMillis = nowMillis()
     }
 
     /** Returns the use of this gateway and the received ones that have not expired, the newest first, for peers. */
@@ -197,6 +203,13 @@
             inProgress = (inProgress + difference).coerceAtLeast(0)
         }
 
+        fun withdrawStart(nowMillis: Long) {
+            val use = average(nowMillis)
+            val starts = use.startsPerSecond - MILLIS_PER_SECOND / USE_TIME_CONSTANT_MILLIS
+            average = use.copy(startsPerSecond = starts.coerceAtLeast(0.0))
+            averagedAtMillis = nowMillis
+        }
+
         fun average(nowMillis: Long): UpstreamUse {
             val remaining = exp(-(nowMillis - averagedAtMillis) / USE_TIME_CONSTANT_MILLIS)
             return UpstreamUse(
@@ -216,7 +229,7 @@
          */
         fun fullFor(nowMillis: Long): Duration {
             val rejectedAt = rejectedAtMillis ?: return Duration.ZERO
-            val slotMillis = (meanResponseMillis ?: DEFAULT_RESPONSE_MILLIS) / slots
+            val slotMillis = ((meanResponseMillis ?: DEFAULT_RESPONSE_MILLIS) / slots).coerceAtMost(MAXIMUM_FULL_MILLIS)
             return (rejectedAt + slotMillis - nowMillis).coerceAtLeast(0.0).milliseconds
         }
 
@@ -242,6 +255,9 @@
         const val RESPONSE_WEIGHT = 0.2
         const val DEFAULT_RESPONSE_MILLIS = 50.0
 
+        /** Bounds the error where responses are long or the upstream has no queue. */
+        const val MAXIMUM_FULL_MILLIS = 50.0
+
         /** With 1 s a slow upstream was found so late that its queue grew to twice the length. */
         const val USE_TIME_CONSTANT_MILLIS = 300.0
         const val MILLIS_PER_SECOND = 1_000.0
--- a/src/main/kotlin/org/primrosesill/load/UpstreamLoads.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamLoads.kt
@@ -55,7 +55,11 @@
      */
     private fun estimatesFromReports(pool: Collection<UpstreamId>): PoolLoads {
         val reports = freshLoads(pool)
-        if (correction?.isActive?.invoke() == true) return correctedEstimates(pool, reports, correction)
+        if (reports.isNotEmpty() &&
+            correction?.isActive?.invoke() == true
+        ) {
+            return correctedEstimates(pool, reports, correction)
+        }
         val estimates = pool.associateWith { estimate(it, reports[it], loadWithoutReport = 0) }
         val averages =
             pool.associateWith {
--- a/src/main/kotlin/org/primrosesill/load/UpstreamSpeeds.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamSpeeds.kt
@@ -12,6 +12,10 @@
     /** Returns the time that work takes at [upstream] at present, relative to the usual time; 1 if nothing is known. */
     public fun slowness(upstream: UpstreamId): Double
 
+    /** Returns the slowness of each of [upstreams]. */
+    public fun slownessOf(upstreams: List<UpstreamId>): DoubleArray =
+        DoubleArray(upstreams.size) { slowness(upstreams[it]) }
+
     /** Returns the prompt tokens that an engine of [pool] prefills in a millisecond. */
     public fun prefillTokensPerMillisecond(pool: PoolId): Double
 }
@@ -92,7 +96,7 @@
  * upstream that is absent from the result has 1.
  */
 public fun UpstreamSpeeds.relativeSlowness(upstreams: List<UpstreamId>): Map<UpstreamId, Double> {
-    val slowness = DoubleArray(upstreams.size) { slowness(upstreams[it]) }
+    val slowness = slownessOf(upstreams)
     if (slowness.all { it == slowness[0] }) return emptyMap()
     val median = lowerMedian(slowness.copyOf())
     return upstreams.indices.associate { upstreams[it] to slowness[it] / median }
--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -36,13 +36,13 @@
         val slowness = dependencies.speeds.relativeSlowness(candidates.map { it.id })
         val engines = candidates.map { candidate(it, prompt, poolLoads, cachedTokens, slowness[it.id] ?: 1.0) }
         val bound = loadBound(poolLoads)
-        val available = engines.filter { it.isBelow(bound) }.ifEmpty { leastLoaded(engines) }
+        val available = engines.filter { it.isBelow(bound) }.ifEmpty { lastResort(engines, poolLoads.basis) }
         val choice =
             EngineChoice(
                 prompt,
                 costInputs(request, prompt, cachedTokens, sources),
                 available,
-                meanLoad = engines.sumOf { it.averageLoad * it.slowness } / engines.size,
+                meanLoad = engines.sumOf { it.averageLoad } / engines.size,
                 isUncached = isUncached(prompt, cachedTokens),
                 replicas = popularity.replicas(prompt, engines.size),
             )
@@ -146,6 +146,13 @@
     private fun EngineCandidate.isBelow(bound: Double) =
         load.inFlight + 1 <= bound && load.inFlight < upstream.registration.slots
 
+    /**
+     * Returns the engines for a prompt when all of them are over the bound. All routers of a large fleet would choose the same
+     * one with the lowest reported load; with load-aware scheduling their shares decide among all.
+     */
+    private fun lastResort(engines: List<EngineCandidate>, basis: LoadBasis): List<EngineCandidate> =
+        if (basis == LoadBasis.REPORTS && dependencies.isLoadAware()) engines else leastLoaded(engines)
+
     private fun leastLoaded(engines: List<EngineCandidate>): List<EngineCandidate> {
         val least = engines.minOf { it.load.inFlight }
         return engines.filter { it.load.inFlight == least }
--- a/src/main/kotlin/org/primrosesill/placement/EngineSelection.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EngineSelection.kt
@@ -7,8 +7,7 @@
  * The engines among which one is selected, and what the selection depends on.
  *
  * @property engines engines below the load bound; not empty
- * @property meanLoad mean of the average loads, each times the slowness, of all engines that may get the request, those over
- *     the bound included
+ * @property meanLoad mean of the average loads of all engines that may get the request, those over the bound included
  * @property isUncached whether the prompt has shared parts and no engine has cached all of them
  * @property replicas number of engines over which the prompts with these shared parts are spread
  */
@@ -19,7 +18,10 @@
     val meanLoad: Double,
     val isUncached: Boolean,
     val replicas: Int,
-)
+) {
+    /** Mean slowness of [engines]. */
+    val usualSlowness: Double get() = engines.sumOf { it.slowness } / engines.size
+}
 
 internal fun interface EngineSelection {
     fun select(choice: EngineChoice): EngineCandidate
@@ -69,8 +71,9 @@
 internal val evenLoadSelection =
     EngineSelection { choice ->
         val share = if (isBusy(choice.engines)) busyShare else usualShare
+        val usualSlowness = choice.usualSlowness
         selectByShare(choice) { engine, meanLoad ->
-            share.acceptedBy(engine, meanLoad) * speedShare(engine, choice.engines)
+            share.acceptedBy(engine, meanLoad) * speedShare(engine.slowness / usualSlowness)
         }
     }
 
@@ -87,11 +90,8 @@
         ((none - engine.averageLoad) / (none - meanLoad)).coerceIn(0.0, 1.0)
     }
 
-/** Returns the fraction of its prompts that [engine] accepts because it works more slowly than [engines] on average. */
-internal fun speedShare(engine: EngineCandidate, engines: List<EngineCandidate>): Double {
-    val slowness = engine.slowness * engines.size / engines.sumOf { it.slowness }
-    return if (slowness < SLOWNESS_THRESHOLD) 1.0 else 1 / slowness
-}
+/** Returns the fraction of its prompts that an engine accepts because of its [slowness] relative to the others. */
+internal fun speedShare(slowness: Double): Double = if (slowness < SLOWNESS_THRESHOLD) 1.0 else 1 / slowness
 
 private fun isBusy(engines: List<EngineCandidate>): Boolean =
     engines.sumOf { it.load.inFlight } >= engines.sumOf { it.upstream.registration.slots } * BUSY_FRACTION_OF_SLOTS ||
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -74,7 +74,7 @@
             request.prompt?.let {
                 val pool = view.upstreams.getValue(request.pool)
                 engines.choose(request, it, candidates, fetchSources(request, view, fleet), pool)
-            } ?: chooseForService(candidates, view.upstreams.getValue(request.pool))
+            } ?: chooseForService(candidates, withinBudget, view.upstreams.getValue(request.pool))
         if (chosen is PlacementResult.Chosen) dependencies.coldStart.recordRequest(chosen.upstream.id)
         return chosen
     }
@@ -119,7 +119,12 @@
     ): List<KnownUpstream> =
         view.upstreams[request.pool].orEmpty().filterNot { isZoneSilent(it, fleet) || activity.isSuspect(it.id) }
 
-    private fun chooseForService(candidates: List<KnownUpstream>, pool: List<KnownUpstream>): PlacementResult {
+    /** @param eligible the [candidates] and the upstreams that are only less preferred */
+    private fun chooseForService(
+        candidates: List<KnownUpstream>,
+        eligible: List<KnownUpstream>,
+        pool: List<KnownUpstream>,
+    ): PlacementResult {
         val loads = dependencies.loads.estimates(candidates.map { it.id })
         val isEstimated =
             dependencies.isLoadAware() &&
@@ -127,15 +132,20 @@
                 loads.basis == LoadBasis.REPORTS &&
                 !loads.areReported
         if (!isEstimated) return PlacementResult.Chosen(leastLoaded(candidates, loads))
-        return chooseByEstimates(candidates, pool)
+        return chooseByEstimates(candidates, eligible, pool)
     }
 
-    private fun chooseByEstimates(candidates: List<KnownUpstream>, pool: List<KnownUpstream>): PlacementResult {
+    private fun chooseByEstimates(
+        candidates: List<KnownUpstream>,
+        eligible: List<KnownUpstream>,
+        pool: List<KnownUpstream>,
+    ): PlacementResult {
         val slots = pool.associate { it.id to it.registration.slots }
         val loads = dependencies.services.loads(slots.keys, slots::getValue)
-        val notFull = candidates.filter { !loads.getValue(it.id).fullFor.isPositive() }
+        val hasRoom = { upstream: KnownUpstream -> !loads.getValue(upstream.id).fullFor.isPositive() }
+        val notFull = candidates.filter(hasRoom).ifEmpty { eligible.filter(hasRoom) }
         if (notFull.isEmpty()) {
-            val slotFree = candidates.minOf { loads.getValue(it.id).fullFor }
+            val slotFree = eligible.minOf { loads.getValue(it.id).fullFor }.coerceAtLeast(MINIMUM_RETRY_AFTER)
             return PlacementResult.Rejected("all upstreams have just rejected requests as they are full", slotFree)
         }
         val compared =
@@ -178,6 +188,9 @@
         const val SMALL_SERVICE_UPSTREAMS = 8
         val RETRY_AFTER = 300.milliseconds
 
+        /** About a response time: callers that return sooner spend their retries before the queue is shorter. */
+        val MINIMUM_RETRY_AFTER = 50.milliseconds
+
         /** Network partitions of a zone rarely last less than this. */
         val UNREACHABLE_RETRY_AFTER = 1_000.milliseconds
 
--- a/src/main/kotlin/org/primrosesill/placement/ServiceSelection.kt
+++ b/src/main/kotlin/org/primrosesill/placement/ServiceSelection.kt
@@ -48,8 +48,8 @@
 
 private fun weight(candidate: ServiceCandidate, usualSeconds: Double): Double {
     val load = candidate.load
-    // Both measure the same, so they are not multiplied.
-    val slowness = maxOf(responseSeconds(load.average, usualSeconds) / usualSeconds, candidate.slowness)
+    // Both measure the same, so they are not multiplied. Errors that take no time must not attract requests.
+    val slowness = maxOf(1.0, responseSeconds(load.average, usualSeconds) / usualSeconds, candidate.slowness)
     return candidate.upstream.registration.slots *
         (if (candidate.isRemote) REMOTE_FACTOR else 1.0) *
         (1 - candidate.failureRate).pow(FAILURE_EXPONENT) *
@@ -67,9 +67,12 @@
 private fun responseSeconds(use: UpstreamUse, usualSeconds: Double): Double =
     (use.inProgress + PRIOR_STARTS_PER_SECOND * usualSeconds) / (use.startsPerSecond + PRIOR_STARTS_PER_SECOND)
 
+/** Fewer starts are the rest of an average that has decayed. */
+private const val MINIMUM_STARTS_PER_SECOND = 0.01
+
 /** Returns the median of the response times of the upstreams with [uses]. */
 private fun usualSeconds(uses: List<UpstreamUse>): Double {
-    val known = uses.filter { it.startsPerSecond > 0 && it.inProgress > 0 }
+    val known = uses.filter { it.startsPerSecond > MINIMUM_STARTS_PER_SECOND && it.inProgress > 0 }
     if (known.isEmpty()) return 1.0
     return known.map { it.inProgress / it.startsPerSecond }.sorted()[(known.size - 1) / 2]
 }
