Prefer engines that have cached a prompt's shared parts

With load-aware scheduling, an engine that has cached all shared parts is selected up to a somewhat higher load than others; the first engine of the order that lacks them gets a fraction by its free share, so that an engine that joins is not idle.

--- a/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/EnginePlacement.kt
@@ -129,7 +129,7 @@
     private fun selectionFor(basis: LoadBasis): EngineSelection =
         when (basis) {
             LoadBasis.EXCHANGED_COUNTS, LoadBasis.MISSING_COUNTS -> cheapestEngineSelection
-            LoadBasis.REPORTS -> if (dependencies.isLoadAware()) evenLoadSelection else loadShareSelection
+            LoadBasis.REPORTS -> if (dependencies.isLoadAware()) loadAwareSelection else loadShareSelection
         }
 
     /**
