--- a/src/main/kotlin/org/primrosesill/command/RootCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RootCommand.kt
@@ -16,6 +16,7 @@
         "gateway" to ::GatewayCommand,
         "router" to ::RouterCommand,
         "check" to ::CheckCommand,
+        "check-configuration" to ::CheckConfigurationCommand,
         "status" to ::StatusCommand,
         "timeline" to ::TimelineCommand,
         "experiment" to ::experimentCommand,
