Release the gossip port before a closed gateway counts as closed

Cause: a closed datagram channel holds its port until the thread within the receive call has left it, and the fixtures of a JVM use one gossip port.

--- a/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
@@ -41,11 +41,12 @@
     private val channel = DatagramChannel.open().bind(ownAddress.copy(port = port).toInetSocketAddress())
     private val received = Channel<ExchangeMessage>(MAXIMUM_WAITING_MESSAGES, BufferOverflow.DROP_OLDEST)
     private var faults = 0L
+    private var receiver: Thread? = null
 
     /** Starts receiving. */
     fun start() {
         scope.launch { for (message in received) scope.launch { onMessage(message) }.join() }
-        thread(isDaemon = true, name = "gossip") { receiveAll() }
+        receiver = thread(isDaemon = true, name = "gossip") { receiveAll() }
     }
 
     /** Sends [message] to the gateways with the peer addresses [peers]. */
@@ -57,7 +58,11 @@
         }
     }
 
-    override fun close() = channel.close()
+    /** Releases the port, which a thread that is still within a receive call would hold. */
+    override fun close() {
+        channel.close()
+        receiver?.join(RECEIVER_END_MILLIS)
+    }
 
     private fun send(target: InetSocketAddress, bytes: ByteArray) {
         try {
@@ -96,6 +101,9 @@
     private companion object {
         const val MAXIMUM_DATAGRAM_BYTES = 60_000
 
+        /** A closed channel ends the receive call at once; bounds the wait on a machine that does not schedule the thread. */
+        const val RECEIVER_END_MILLIS = 1_000L
+
         /** A few messages for each of the peers that send in one round. */
         const val MAXIMUM_WAITING_MESSAGES = 128
         const val FAULTS_PER_EVENT = 100L
