--- a/review/standin-2/SoundPrompts.java
+++ b/review/standin-2/SoundPrompts.java
@@ -6,7 +6,7 @@
 /** Starved: tenants whose first chats fall into four seconds in which the engines reset a part of all requests. */
 final class SoundPrompts {
     private static final int ENGINES = 8;
-    private static final int TENANTS = 24;
+    private static final int TENANTS = 40;
     private static final int CHATS = 15;
     private static final int CHAT_INTERVAL_MILLIS = 1_400;
 
