--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -13,6 +13,7 @@
 /** The platform's store: keeps items, lists them in pages and answers watches. */
 final class Store {
     private static final int PAGE_ITEMS = 500;
+    private static final int PAGE_CHARACTERS = 1_000_000;
 
     private record Item(String value, long revision, long created) {}
 
@@ -105,13 +106,15 @@
     private synchronized String range(String prefix, String after) {
         List<String> entries = new ArrayList<>();
         boolean more = false;
+        int characters = 0;
         for (var entry : items.tailMap(after, false).entrySet()) {
             if (!entry.getKey().startsWith(prefix)) continue;
-            if (entries.size() == PAGE_ITEMS) {
+            if (entries.size() == PAGE_ITEMS || characters >= PAGE_CHARACTERS) {
                 more = true;
                 break;
             }
             entries.add(json(entry.getKey(), entry.getValue()));
+            characters += entry.getValue().value.length();
         }
         return "{\"entries\":[" + String.join(",", entries) + "],\"has_more\":" + more + ",\"at\":" + revision + "}";
     }
