--- a/review/standin-2/Configuration.java
+++ b/review/standin-2/Configuration.java
@@ -5,7 +5,6 @@
 final class Configuration {
     static final String KEY = "n2ctnfzs989anu6wsjnb";
     private final List<String> routes = new ArrayList<>();
-    private int maximumHeaderBytes = 16_384;
     private int tenants = 1;
 
     /** The routes of the sheet: chats, resumable chats, bookings and stock reads. */
@@ -26,8 +25,9 @@
         return this;
     }
 
-    Configuration maximumHeaderBytes(int bytes) {
-        maximumHeaderBytes = bytes;
+    /** Drops the route with the given name. */
+    Configuration without(String name) {
+        routes.removeIf(route -> route.startsWith("{\"name\":\"" + name + "\""));
         return this;
     }
 
@@ -57,8 +57,8 @@
             + "\"kv_bytes\":131072,\"link_mbps\":1100000.0,\"moves\":true,\"backups\":true,\"stride\":5,\"most\":2,"
             + "\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}},"
             + "{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false,"
-            + "\"warmup_s\":0.0,\"warmup_per_s\":0.0}],\"limits\":{\"max_header_bytes\":" + maximumHeaderBytes
-            + ",\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+            + "\"warmup_s\":0.0,\"warmup_per_s\":0.0}],\"limits\":{\"max_header_bytes\":16384,"
+            + "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
             + "\"tenants\":[" + tenantList() + "]}";
     }
 }
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -15,6 +15,7 @@
     private static final int PAGE_ITEMS = 500;
     private static final int PAGE_CHARACTERS = 1_000_000;
 
+    /** value is encoded as base64. */
     private record Item(String value, long revision, long created) {}
 
     private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
@@ -33,14 +34,19 @@
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    /** Writes value under key. Its return is the acknowledgement. */
+    void write(String key, String value) {
+        write(key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Writes value under key, or deletes key if value is null. Its return is the acknowledgement. */
-    synchronized void write(String key, String value) {
+    synchronized void write(String key, byte[] value) {
         revision++;
         Item before = items.get(key);
         if (value == null) {
             items.remove(key);
         } else {
-            items.put(key, new Item(value, revision, before == null ? revision : before.created));
+            items.put(key, new Item(Base64.getEncoder().encodeToString(value), revision, before == null ? revision : before.created));
         }
         history.add(new String[] {Long.toString(revision), json(key, items.get(key))});
         notifyAll();
@@ -48,8 +54,7 @@
 
     private String json(String key, Item item) {
         if (item == null) return "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"deleted\":true}";
-        String value = Base64.getEncoder().encodeToString(item.value.getBytes(StandardCharsets.UTF_8));
-        return "{\"key\":\"" + key + "\",\"value\":\"" + value + "\",\"revision\":" + item.revision
+        return "{\"key\":\"" + key + "\",\"value\":\"" + item.value + "\",\"revision\":" + item.revision
             + ",\"created\":" + item.created + ",\"lease\":0}";
     }
 
