--- a/review/standin-2/slow_reader.py
+++ b/review/standin-2/slow_reader.py
@@ -1,5 +1,6 @@
 """A client that receives one answer at a given rate, with the segment size of an Ethernet link: loopback has one of 64 kB, which lets
-the kernel take in some megabytes at once. Exits with 0 if the answer was whole and with 1 if it was cut."""
+the kernel take in some megabytes at once. Exits with 0 if the answer was whole, with 1 if its connection ended before that, and
+with 2 if there was no answer or it did not end in time."""
 import socket
 import sys
 import time
@@ -31,6 +32,9 @@
             time.sleep(ahead)
         if len(received) > size and received.endswith(b"0\r\n\r\n"):
             break
+except TimeoutError:
+    print(f"report-{size}: no end within 15 s")
+    sys.exit(2)
 except OSError as error:
     end = str(error)
 
@@ -50,4 +54,6 @@
 head, body, whole = body_of(received)
 status = head.split(b"\r\n")[0].decode()
 print(f"report-{size}: {status}, {len(body)} of {size} bytes after {time.monotonic() - start:.1f} s, connection {end}")
+if not status.startswith("HTTP/1.1 200"):
+    sys.exit(2)
 sys.exit(0 if whole and len(body) == size else 1)
