--- a/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
@@ -13,17 +13,10 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
-import org.primrosesill.concurrent.throwingReporter
-import org.primrosesill.discovery.KnownUpstream
-import org.primrosesill.transport.ListenerLimits
 import org.primrosesill.transport.RawCaller
 import org.primrosesill.transport.RawConnection
 import org.primrosesill.transport.RawResponse
 import org.primrosesill.transport.RawUpstream
-import org.primrosesill.transport.TrafficLoop
-import org.primrosesill.transport.UpstreamClientSettings
-import org.primrosesill.transport.nettyUpstreamClient
-import org.primrosesill.transport.startHttpListener
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -31,8 +24,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.TimeSource
 
-private const val REQUEST_ID = "r1"
-private const val SIGNED = "X-Attempt-Id: $REQUEST_ID\r\nX-Server-Signature: s\r\n"
+private const val SIGNED = "X-Attempt-Id: $RAW_REQUEST_ID\r\nX-Server-Signature: s\r\n"
 private val versions = listOf("HTTP/1.0", "HTTP/1.1")
 
 private fun event(id: Int) = "id: $id\ndata: x\n\n"
@@ -48,10 +40,10 @@
 private class Script(val text: String, val reset: Boolean = false, val pauseMillis: Long = 0)
 
 class TruncatedResponseTest {
-    private val loop = TrafficLoop(throwingReporter)
+    private val forwarding = RawForwarding()
 
     @AfterEach
-    fun close() = loop.close()
+    fun close() = forwarding.close()
 
     private fun play(script: Script): RawUpstream = RawUpstream { connection -> respond(connection, script) }
 
@@ -62,11 +54,6 @@
         if (script.reset) connection.reset()
     }
 
-    private fun known(id: String, upstream: RawUpstream): KnownUpstream {
-        val known = testUpstream(id)
-        return known.copy(registration = known.registration.copy(address = upstream.address))
-    }
-
     /** Sends a request for [target] through a forwarder to the first of [upstreams] and, if it fails, to the next ones. */
     private fun send(
         target: String,
@@ -74,16 +61,8 @@
         version: String = "HTTP/1.1",
         readPauseMillis: Long = 0,
     ): RawResponse =
-        runBlocking {
-            val client = nettyUpstreamClient(loop, UpstreamClientSettings(acceptsCloseDelimited = true))
-            val known = upstreams.mapIndexed { index, upstream -> known("u${index + 1}", upstream) }
-            val fixture = ForwardingFixture(client, upstreams = known)
-            val listener = startHttpListener(loop, "127.0.0.1:0", ::ListenerLimits, fixture.handler)
-            val fields =
-                mapOf("Host" to "h.example", "X-Attempt-Id" to REQUEST_ID, "Authorization" to "Bearer $CREDENTIAL")
-            RawCaller(listener.port, version, readPauseMillis)
-                .send(target, fields + ("Connection" to "close"))
-                .also { listener.close() }
+        forwarding.send(upstreams) { port, headers ->
+            RawCaller(port, version, readPauseMillis).send(target, headers)
         }
 
     private class Case(
@@ -206,8 +185,7 @@
     /** Returns how the stream that ends between two events ended for its caller. */
     private fun endOfStreamBeside(upstream: RawUpstream, close: CountDownLatch): String =
         runBlocking {
-            val client = nettyUpstreamClient(loop, UpstreamClientSettings(acceptsCloseDelimited = true))
-            val fixture = ForwardingFixture(client, upstreams = listOf(known("u1", upstream)))
+            val fixture = forwarding.fixture(listOf(upstream))
             val started = TimeSource.Monotonic.markNow()
             val clock =
                 launch {
--- a/src/test/kotlin/org/primrosesill/transport/RawCaller.kt
+++ b/src/test/kotlin/org/primrosesill/transport/RawCaller.kt
@@ -16,17 +16,23 @@
  */
 data class RawResponse(val status: Int, val body: String, val complete: Boolean)
 
-/** Sends one request to the listener at local [port] and reads the response in pauses of [readPauseMillis]. */
+/**
+ * Sends one request with [method] and [body] to the listener at local [port] and reads the response in pauses of
+ * [readPauseMillis].
+ */
 class RawCaller(
     private val port: Int,
     private val version: String = "HTTP/1.1",
     private val readPauseMillis: Long = 0,
+    private val method: String = "POST",
+    private val body: ByteArray = ByteArray(0),
 ) {
     fun send(target: String, headers: Map<String, String> = emptyMap()): RawResponse =
         Socket("127.0.0.1", port).use { socket ->
             socket.soTimeout = READ_TIMEOUT_MILLIS
             val fields = headers.entries.joinToString("") { "${it.key}: ${it.value}\r\n" }
-            socket.getOutputStream().write("POST $target $version\r\n${fields}Content-Length: 0\r\n\r\n".toByteArray())
+            val head = "$method $target $version\r\n${fields}Content-Length: ${body.size}\r\n\r\n"
+            socket.getOutputStream().write(head.toByteArray() + body)
             readResponse(socket.getInputStream())
         }
 
@@ -59,6 +65,7 @@
     private fun decodeBody(status: Int, head: String, body: String, closedInOrder: Boolean): RawResponse {
         val length = headerOf(head, "content-length")?.toInt()
         return when {
+            method == "HEAD" -> RawResponse(status, body, body.isEmpty() && closedInOrder)
             headerOf(head, "transfer-encoding") == "chunked" -> decodeChunks(status, body)
             length != null -> RawResponse(status, body, body.length == length)
             else -> RawResponse(status, body, closedInOrder)
