Reject a response whose status is no status of HTTP

Cause: Netty's response decoder takes any number as the status: 000, 099, 20, 600, 999, 2000, 0200 and +200. The client passed on what the decoder accepted.

Change: ResponseDecoder, which all users of the Netty client share, accepts three digits from 100 to 599. Anything else is a malformed response, typed as ExchangeResult.MalformedResponse: the outcome of the attempt is unknown, a request that may be repeated goes to another upstream, and others are answered with 502, never with a promise that they have not run. The attempt is counted as Malformed and logged with the id of the request; the cause names the defect and quotes nothing of the head. A malformed head no longer counts as a lost connection, since it does not show that the upstream crashed. Netty's causes, which quote what was received, are not passed on either: the router command returned them in problem details.

Why it works: the text of the status is checked before Netty turns it into a number, for each response on each connection.

Valid statuses, interim responses included, are delivered.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptLoop.kt
@@ -135,6 +135,7 @@
             return when (result) {
                 is ExchangeResult.Responded -> result.value
                 is ExchangeResult.NotSent -> AttemptOutcome.NotSent(result.reason)
+                is ExchangeResult.MalformedResponse -> AttemptOutcome.Malformed(result.defect)
                 is ExchangeResult.ConnectionFailed -> AttemptOutcome.Unknown(result.reason, connectionLost = true)
                 ExchangeResult.TimedOut -> AttemptOutcome.Unknown("no response before the deadline")
                 null -> AttemptOutcome.Unknown("no response within ${responseTimeout(context.route)}")
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -5,6 +5,7 @@
 
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.Failure
+import org.primrosesill.model.ResponseDefect
 import kotlin.time.Duration
 
 /**
@@ -68,10 +69,13 @@
      * The upstream may have executed the request, and the caller has received nothing, or a part of a stream that may
      * be resumed at another upstream.
      */
-    class Unknown(val reason: String, override val connectionLost: Boolean = false) : AttemptOutcome {
+    open class Unknown(val reason: String, override val connectionLost: Boolean = false) : AttemptOutcome {
         override val description = "outcome unknown: $reason"
     }
 
+    /** The upstream sent bytes that are not the head of a response. That does not show that it crashed. */
+    class Malformed(defect: ResponseDefect) : Unknown("$defect")
+
     /** The caller has received a part of a response that cannot be completed. */
     class Cut(val reason: String, override val connectionLost: Boolean) : AttemptOutcome {
         override val description = "response truncated: $reason"
--- a/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/request/UpstreamClient.kt
@@ -5,6 +5,7 @@
 package org.primrosesill.request
 
 import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.ResponseDefect
 import org.primrosesill.model.UpstreamId
 import kotlin.time.Duration
 
@@ -107,7 +108,10 @@
     public class NotSent(public val reason: String, public val refused: Boolean = false) : ExchangeResult<Nothing>
 
     /** The connection failed before a response head arrived, and bytes of the request may have reached the upstream. */
-    public class ConnectionFailed(public val reason: String) : ExchangeResult<Nothing>
+    public open class ConnectionFailed(public val reason: String) : ExchangeResult<Nothing>
+
+    /** What arrived is not the head of a response, so that the client closed the connection. */
+    public class MalformedResponse(public val defect: ResponseDefect) : ConnectionFailed("$defect")
 
     /** No response head arrived in time, and bytes of the request may have reached the upstream. */
     public data object TimedOut : ExchangeResult<Nothing>
--- a/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
+++ b/src/main/kotlin/org/primrosesill/transport/NettyUpstreamClient.kt
@@ -104,6 +104,7 @@
                 when (val received = withTimeoutOrNull(call.timeout) { connection.receive() }) {
                     null -> return ExchangeResult.TimedOut
                     is ResponseEvent.Head -> received
+                    is ResponseEvent.Malformed -> return ExchangeResult.MalformedResponse(received.defect)
                     is ResponseEvent.Failed -> return ExchangeResult.ConnectionFailed(received.reason)
                     else -> return ExchangeResult.ConnectionFailed("received a response body before its head")
                 }
--- a/src/main/kotlin/org/primrosesill/transport/ResponseDecoder.kt
+++ b/src/main/kotlin/org/primrosesill/transport/ResponseDecoder.kt
@@ -1,5 +1,6 @@
 /*
- * Decodes the responses on a connection to an upstream.
+ * Decodes the responses on a connection to an upstream, and rejects heads that Netty's decoder would repair or accept
+ * although they violate HTTP.
  */
 package org.primrosesill.transport
 
@@ -8,6 +9,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
+import org.primrosesill.model.MalformedResponseException
+import org.primrosesill.model.ResponseDefect
+import org.primrosesill.model.isStatusCode
 
 /** Decodes responses. The response to a HEAD request has no body. */
 internal class ResponseDecoder : HttpResponseDecoder(decoderConfig(MAXIMUM_RESPONSE_HEADER_BYTES)) {
@@ -16,8 +20,18 @@
     /** Whether received bytes do not form a complete message yet. */
     val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
 
+    /** [statusLine] holds the version, the status and the reason phrase. Netty accepts any number as the status. */
+    override fun createMessage(statusLine: Array<String>): HttpMessage {
+        if (!isStatusCode(statusLine[STATUS_INDEX])) throw MalformedResponseException(ResponseDefect.STATUS)
+        return super.createMessage(statusLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         isHeadRequest || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        const val STATUS_INDEX = 1
+    }
 }
 
 /** Reports the number of received bytes before they are decoded. */
--- a/src/main/kotlin/org/primrosesill/transport/ResponseEvent.kt
+++ b/src/main/kotlin/org/primrosesill/transport/ResponseEvent.kt
@@ -4,6 +4,7 @@
 package org.primrosesill.transport
 
 import io.netty.handler.codec.http.HttpResponse
+import org.primrosesill.model.ResponseDefect
 
 /** An event in the reception of a response. */
 internal sealed interface ResponseEvent {
@@ -16,5 +17,8 @@
     class End(val framed: Boolean) : ResponseEvent
 
     /** The connection failed before the response ended. */
-    class Failed(val reason: String) : ResponseEvent
+    open class Failed(val reason: String) : ResponseEvent
+
+    /** The received bytes are not a response. */
+    class Malformed(val defect: ResponseDefect) : Failed("$defect")
 }
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -20,6 +21,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.primrosesill.model.HeaderFields
+import org.primrosesill.model.MalformedResponseException
+import org.primrosesill.model.ResponseDefect
 import org.primrosesill.request.BufferBudget
 import org.primrosesill.request.HeadMatch
 import java.io.IOException
@@ -170,9 +173,7 @@
 
     private fun processHead(message: HttpResponse) {
         if (message.decoderResult().isFailure) {
-            return fail(
-                "malformed response head: ${message.decoderResult().cause()}",
-            )
+            return fail(ResponseEvent.Malformed(defectOf(message.decoderResult(), ResponseDefect.OTHER_HEAD)))
         }
         response = message
         if (isInterim(message)) return
@@ -198,9 +199,7 @@
         val head = response ?: return
         if (isInterim(head)) return
         if (message.decoderResult().isFailure) {
-            return fail(
-                "malformed response body: ${message.decoderResult().cause()}",
-            )
+            return fail(ResponseEvent.Malformed(defectOf(message.decoderResult(), ResponseDefect.BODY)))
         }
         val content: ByteBuf = message.content()
         if (content.isReadable && !mismatched) {
@@ -222,11 +221,13 @@
         events.trySend(ResponseEvent.End(framed))
     }
 
-    private fun fail(reason: String) {
+    private fun fail(reason: String) = fail(ResponseEvent.Failed(reason))
+
+    private fun fail(event: ResponseEvent) {
         inExchange = false
         unusable = true
         stopBatching()
-        events.trySend(ResponseEvent.Failed(reason))
+        events.trySend(event)
         channel.close()
     }
 
@@ -256,6 +257,10 @@
         context.close()
     }
 
+    /** Netty's own causes quote what was received, and so are not passed on. */
+    private fun defectOf(result: DecoderResult, otherwise: ResponseDefect): ResponseDefect =
+        (result.cause() as? MalformedResponseException)?.defect ?: otherwise
+
     private fun isInterim(message: HttpResponse) = message.status().code() in 100..199
 
     private companion object {
