Reject a response in which the name of a field is not a token

Callers saw: an upstream in trouble sent a head in which the name of a field held a blank.

Cause: Netty's decoder repairs the names in responses: a name ends at its first blank, and what follows up to the colon is dropped. Names with a control character, no name, and a folded first line were rejected before; they stay as tests.

Change: ResponseDecoder checks each name where Netty cuts it out of its line: it must end at its colon and be a token. Trailers take the same path; a trailer with such a name makes the response truncated.

Why it works: the check sees the bytes of the line and not the repaired name, for heads and trailers of every connection. The whole class is rejected by the rule of the protocol, not by a list of characters.

--- a/src/main/kotlin/org/primrosesill/transport/ResponseDecoder.kt
+++ b/src/main/kotlin/org/primrosesill/transport/ResponseDecoder.kt
@@ -9,9 +9,11 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.util.AsciiString
 import org.primrosesill.model.MalformedResponseException
 import org.primrosesill.model.ResponseDefect
 import org.primrosesill.model.isStatusCode
+import org.primrosesill.model.isToken
 
 /** Decodes responses. The response to a HEAD request has no body. */
 internal class ResponseDecoder : HttpResponseDecoder(decoderConfig(MAXIMUM_RESPONSE_HEADER_BYTES)) {
@@ -26,11 +28,23 @@
         return super.createMessage(statusLine)
     }
 
+    /**
+     * Returns the name in [line], also that of a trailer. It must end at its colon: Netty also ends it at a blank, and ignores
+     * what follows up to the colon.
+     */
+    override fun splitHeaderName(line: ByteArray, start: Int, length: Int): AsciiString {
+        val name = super.splitHeaderName(line, start, length)
+        val endsAtColon = line[start + length] == COLON
+        if (!endsAtColon || !isToken(name.toString())) throw MalformedResponseException(ResponseDefect.FIELD_NAME)
+        return name
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         isHeadRequest || super.isContentAlwaysEmpty(message)
 
     private companion object {
         const val STATUS_INDEX = 1
+        const val COLON = ':'.code.toByte()
     }
 }
 
--- a/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
@@ -65,6 +65,67 @@
             testsOf(MalformedResponse("status '$it'", text, ResponseDefect.STATUS))
         }
 
+    // Guards against a response in which the name of a field is no token, and that reaches the caller with this line or
+    // with a body that is framed by it (issue 52).
+    @TestFactory
+    fun `a response with an invalid field name is no response`(): List<DynamicTest> =
+        listOf(
+            "X Bad: 1",
+            "X-Bad : 1",
+            "X-Bad\t: 1",
+            "X\tBad: 1",
+            "X Bad",
+            "X\u0000Bad: 1",
+            "X\u0001Bad: 1",
+            "X\rBad: 1",
+            "X\u000bBad: 1",
+            "X\u001fBad: 1",
+            "X\u007fBad: 1",
+            "X\u00e9Bad: 1",
+            "X(Bad): 1",
+            ": 1",
+            "Content-Length : 2",
+            "Content Length: 2",
+            "Content-Length\u0001: 2",
+            "Transfer-Encoding : chunked",
+            "Transfer-Encoding\u0001: chunked",
+            "X-Server-Signature : s",
+        ).flatMap { line ->
+            listOf(
+                "'${escaped(line)}' first" to "$line\r\n$SIGNED$LENGTH",
+                "'${escaped(line)}' last" to "$SIGNED$LENGTH$line\r\n",
+                "'${escaped(line)}' without a length" to "$SIGNED$line\r\n",
+            )
+        }.plus(
+            listOf(" X-Bad: 1", "\tX-Bad: 1", " : 1", " ", " Content-Length: 2").map { line ->
+                "folded first line '${escaped(line)}'" to "$line\r\n$SIGNED$LENGTH"
+            },
+        ).flatMap { (name, fields) ->
+            testsOf(MalformedResponse(name, "$OK$fields\r\n$EVENT", ResponseDefect.FIELD_NAME))
+        }
+
+    // Guards against a line of the head that is no field and is ignored.
+    @TestFactory
+    fun `a response with a line without a colon is no response`(): List<DynamicTest> =
+        testsOf(MalformedResponse("no colon", "${OK}X-Bad\r\n$SIGNED$LENGTH\r\n$EVENT", ResponseDefect.OTHER_HEAD))
+
+    // Guards against a response that counts as complete although its end is malformed.
+    @TestFactory
+    fun `a response with an invalid trailer is truncated`(): List<DynamicTest> =
+        listOf("X Bad: 1", "X-Bad : 1", "X\u0001Bad: 1", "X(Bad): 1", ": 1", "X-Bad").flatMap { line ->
+            val chunk = "${EVENT.length.toString(radix = 16)}\r\n$EVENT\r\n"
+            val text = "$OK${SIGNED}Transfer-Encoding: chunked\r\n\r\n${chunk}0\r\n$line\r\n\r\n"
+            listOf("/safe/x" to failed, "/unsafe/x" to failed, "/stream/x" to RawResponse(200, EVENT, false))
+                .map { (target, expected) ->
+                    dynamicTest("'${escaped(line)}', $target") {
+                        upstream(text).use { upstream ->
+                            val fixture = forwarding.fixture(listOf(upstream))
+                            expectThat(send(Request(target, "POST", repeatable = false), fixture)).isEqualTo(expected)
+                        }
+                    }
+                }
+        }
+
     private fun testsOf(response: MalformedResponse): List<DynamicTest> =
         requests.flatMap { request ->
             val name = "${response.name}, ${request.method} ${request.target}"
