Reject a response with a transfer coding other than chunked

Callers saw: a response with 'Transfer-Encoding: gzip', with or without a length, 'gzip, chunked' or chunked twice was delivered with the encoded bytes as its body, while the field that says so was removed, as it concerns one connection only.

Cause: Netty's decoder knows the coding chunked only, and ignores the others.

Why it works: a body is delivered only if its one framing is a length, chunks, or the end of the connection.

A response to HEAD has no body, whatever its head says.

--- a/src/main/kotlin/org/primrosesill/model/ResponseDefect.kt
+++ b/src/main/kotlin/org/primrosesill/model/ResponseDefect.kt
@@ -10,6 +10,7 @@
 public enum class ResponseDefect(public val description: String) {
     STATUS("the status is not three digits from 100 to 599"),
     FIELD_NAME("the name of a header field is not a token"),
+    FRAMING("the length of the body is ambiguous"),
     OTHER_HEAD("the head cannot be parsed"),
     BODY("the body cannot be parsed"),
     ;
--- a/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
+++ b/src/main/kotlin/org/primrosesill/transport/UpstreamConnection.kt
@@ -177,6 +177,7 @@
         }
         response = message
         if (isInterim(message)) return
+        if (hasAmbiguousFraming(message)) return fail(ResponseEvent.Malformed(ResponseDefect.FRAMING))
         framed =
             decoder.isHeadRequest ||
             HttpUtil.isTransferEncodingChunked(
--- a/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
@@ -20,6 +20,7 @@
 private const val LENGTH = "Content-Length: ${EVENT.length}\r\n"
 private const val OK = "HTTP/1.1 200 OK\r\n"
 private const val VALID_RESPONSE = "$OK$SIGNED$LENGTH\r\n$EVENT"
+private val chunked = "${EVENT.length.toString(radix = 16)}\r\n$EVENT\r\n0\r\n\r\n"
 private val failed = RawResponse(502, "", true)
 
 /** The printable characters of [text], and the codes of the others. */
@@ -109,12 +110,56 @@
     fun `a response with a line without a colon is no response`(): List<DynamicTest> =
         testsOf(MalformedResponse("no colon", "${OK}X-Bad\r\n$SIGNED$LENGTH\r\n$EVENT", ResponseDefect.OTHER_HEAD))
 
+    // Guards against what follows a switch of protocols, which no request asks for, and is taken for a response.
+    @TestFactory
+    fun `what follows a switch of protocols is no response`(): List<DynamicTest> =
+        listOf("", "Upgrade: websocket\r\n", "Upgrade: websocket\r\nSec-WebSocket-Accept: x\r\n", LENGTH)
+            .flatMap { fields ->
+                requests.map { request ->
+                    dynamicTest("'${escaped(fields)}', ${request.method} ${request.target}") {
+                        val head = "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n$SIGNED$fields\r\n"
+                        upstream(head + VALID_RESPONSE).use { upstream ->
+                            expectThat(send(request, forwarding.fixture(listOf(upstream)))).isEqualTo(failed)
+                        }
+                    }
+                }
+            }
+
+    // Guards against a body of which another parser would see another part, because its framing is ambiguous. A response to HEAD
+    // has no body, whatever its head says.
+    @TestFactory
+    fun `a response with ambiguous framing is no response`(): List<DynamicTest> =
+        listOf(
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" to chunked,
+            "Transfer-Encoding: gzip, chunked\r\n" to chunked,
+            "Transfer-Encoding: gzip\r\n" to EVENT,
+            "Transfer-Encoding: gzip\r\n$LENGTH" to EVENT,
+        ).flatMap { (framing, body) ->
+            val text = "$OK$SIGNED$framing\r\n$body"
+            testsOf(MalformedResponse("'${escaped(framing)}'", text, ResponseDefect.FRAMING), withHead = false)
+        }
+
+    // Guards against the same where Netty rejects the framing itself.
+    @TestFactory
+    fun `a response with two framings or without a valid length is no response`(): List<DynamicTest> =
+        listOf(
+            Triple("HTTP/1.1", "${LENGTH}Transfer-Encoding: chunked\r\n", chunked),
+            Triple("HTTP/1.1", "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n", chunked),
+            Triple("HTTP/1.0", "Transfer-Encoding: chunked\r\n", chunked),
+            Triple("HTTP/1.1", "Content-Length: 2\r\n$LENGTH", EVENT),
+            Triple("HTTP/1.1", "Content-Length: +15\r\n", EVENT),
+            Triple("HTTP/1.1", "Content-Length: 0xf\r\n", EVENT),
+        ).flatMap { (version, framing, body) ->
+            val text = "$version 200 OK\r\n$SIGNED$framing\r\n$body"
+            val response = MalformedResponse("$version, '${escaped(framing)}'", text, ResponseDefect.OTHER_HEAD)
+            testsOf(response, withHead = "Transfer-Encoding" !in framing)
+        }
+
     // Guards against a response that counts as complete although its end is malformed.
     @TestFactory
     fun `a response with an invalid trailer is truncated`(): List<DynamicTest> =
         listOf("X Bad: 1", "X-Bad : 1", "X\u0001Bad: 1", "X(Bad): 1", ": 1", "X-Bad").flatMap { line ->
-            val chunk = "${EVENT.length.toString(radix = 16)}\r\n$EVENT\r\n"
-            val text = "$OK${SIGNED}Transfer-Encoding: chunked\r\n\r\n${chunk}0\r\n$line\r\n\r\n"
+            val text = "$OK${SIGNED}Transfer-Encoding: chunked\r\n\r\n${chunked.removeSuffix("\r\n")}$line\r\n\r\n"
             listOf("/safe/x" to failed, "/unsafe/x" to failed, "/stream/x" to RawResponse(200, EVENT, false))
                 .map { (target, expected) ->
                     dynamicTest("'${escaped(line)}', $target") {
@@ -126,8 +171,8 @@
                 }
         }
 
-    private fun testsOf(response: MalformedResponse): List<DynamicTest> =
-        requests.flatMap { request ->
+    private fun testsOf(response: MalformedResponse, withHead: Boolean = true): List<DynamicTest> =
+        requests.filter { withHead || it.method != "HEAD" }.flatMap { request ->
             val name = "${response.name}, ${request.method} ${request.target}"
             listOfNotNull(
                 dynamicTest("$name, first attempt") { checkFirstAttempt(response, request) },
--- a/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/TruncatedResponseTest.kt
@@ -230,6 +230,8 @@
             ResumeCase("JSON", Script(withLength("{\"error\":1}\n\n", fields = "Content-Type: application/json\r\n"))),
             ResumeCase("an HTTP head as the body", Script(head() + "HTTP/1.1 500 S\r\nX: y\r\n\r\n")),
             ResumeCase("the stream from its start", Script(withLength(event(1) + event(2) + event(3)))),
+            ResumeCase("a status that is none", Script(withLength(event(3), status = 0))),
+            ResumeCase("a field name with a blank", Script(withLength(event(3), fields = "X Bad: 1\r\n"))),
             ResumeCase("part of a head", Script("HTTP/1.1 200 OK\r\nX-Att")),
             ResumeCase("bytes that are no response", Script("garbage\r\n\r\n")),
             ResumeCase("a reset", Script("", reset = true)),
--- a/src/test/kotlin/org/primrosesill/transport/EndlessInputTest.kt
+++ b/src/test/kotlin/org/primrosesill/transport/EndlessInputTest.kt
@@ -47,6 +47,8 @@
                 "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 99999999\r\n\r\n",
                 kilobyte,
             ),
+            Case("input after a switch of protocols", SWITCH_OF_PROTOCOLS, kilobyte),
+            Case("responses after a switch of protocols", SWITCH_OF_PROTOCOLS, CHUNKED_HEAD),
             Case("control characters", "", "\u0000".repeat(1_000)),
             Case("empty lines", "", "\r\n".repeat(500)),
             Case("garbage", "", kilobyte),
@@ -123,6 +125,7 @@
 
     private companion object {
         val kilobyte = "x".repeat(1_000)
+        const val SWITCH_OF_PROTOCOLS = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
         const val CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
         /** Above the client's limit plus the capacity of the socket buffers. */
