Report malformed responses to the router's Ktor clients as typed errors

Seen: a platform or a router whose response had a malformed head ended the caller with an exception in place of a typed error. In PlatformClient the exception leaves the watch loop, which is not restarted, so that the router would not read the platform again (by reading); the status command would print a stack trace that quotes the response (by reading). A field name that held DEL or a character beyond ASCII was accepted by all four clients.

Cause: Ktor's parser reports what it rejects with ParserException and NumberFormatException, which are no IOException, and checks names against a list of delimiters.

Change: readResponse, which the clients of the platform, of peers, of load reports and of the operator share, throws MalformedResponseException, an IOException, with the defect and no text of the response, and checks the status and the names with the same functions as ResponseDecoder.

Why it works: all responses of these clients pass through one function, and every caller already handles IOException.

--- a/src/main/kotlin/org/primrosesill/http/LoadReportClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/LoadReportClient.kt
@@ -41,7 +41,7 @@
         }
 
     private suspend fun fetch(address: String): ByteArray? =
-        client.prepareGet("http://$address/load").execute { response ->
+        client.prepareGet("http://$address/load").readResponse { response ->
             if (response.status.isSuccess()) response.bodyAsChannel().readBounded(MAXIMUM_REPORT_BYTES) else null
         }
 
--- a/src/main/kotlin/org/primrosesill/http/OperatorClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/OperatorClient.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.primrosesill.generated.RouterStatus
+import org.primrosesill.model.MalformedResponseException
 import org.primrosesill.model.SocketAddress
 import java.io.IOException
 import java.nio.channels.UnresolvedAddressException
@@ -50,6 +51,8 @@
     public suspend fun status(address: SocketAddress): Either<StatusFailure, RouterStatus> =
         try {
             withTimeoutOrNull(timeout) { fetchStatus(address) } ?: StatusFailure.TimedOut(address, timeout).left()
+        } catch (failure: MalformedResponseException) {
+            StatusFailure.InvalidResponse(address, "${failure.defect}").left()
         } catch (failure: IOException) {
             StatusFailure.Unreachable(address, failure.message ?: "connection failed").left()
         } catch (_: UnresolvedAddressException) {
@@ -59,7 +62,7 @@
     private suspend fun fetchStatus(address: SocketAddress): Either<StatusFailure, RouterStatus> =
         client
             .prepareGet("http://$address$STATUS_PATH") { if (token.isNotEmpty()) bearerAuth(token) }
-            .execute { response ->
+            .readResponse { response ->
                 val body = response.bodyAsChannel().readBounded(MAXIMUM_STATUS_BYTES)
                 when {
                     response.status != HttpStatusCode.OK ->
--- a/src/main/kotlin/org/primrosesill/http/PeerClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/PeerClient.kt
@@ -176,7 +176,7 @@
                 header(HttpHeaders.Accept, JsonContent)
                 if (token.isNotEmpty()) bearerAuth(token)
                 configure()
-            }.execute { PeerReply(it.status, it.bodyAsChannel().readBounded(MAXIMUM_PEER_MESSAGE_BYTES)) }
+            }.readResponse { PeerReply(it.status, it.bodyAsChannel().readBounded(MAXIMUM_PEER_MESSAGE_BYTES)) }
 
     private fun <R> decode(
         address: String,
--- a/src/main/kotlin/org/primrosesill/http/PlatformClient.kt
+++ b/src/main/kotlin/org/primrosesill/http/PlatformClient.kt
@@ -25,6 +25,7 @@
 import kotlinx.serialization.json.Json
 import org.primrosesill.generated.ConfigurationPage
 import org.primrosesill.generated.VmList
+import org.primrosesill.model.MalformedResponseException
 import org.primrosesill.model.firstLine
 import java.io.IOException
 import kotlin.random.Random
@@ -62,7 +63,7 @@
     public class TooLarge(public val call: String, public val limitBytes: Int) :
         PlatformError("$call: the response has more than $limitBytes bytes")
 
-    /** The body of the response is not the expected message. */
+    /** The response violates HTTP, or its body is not the expected message. */
     public class Malformed(public val call: String, cause: String) : PlatformError("$call: $cause")
 }
 
@@ -136,7 +137,7 @@
         try {
             client
                 .prepareGet("http://${settings.address}$call") { timeout { setTimeouts(waitMillis) } }
-                .execute { response ->
+                .readResponse { response ->
                     val bytes = response.bodyAsChannel().readRemaining(settings.maximumBytes + 1L).readByteArray()
                     when {
                         response.status.value != 200 ->
@@ -160,6 +161,8 @@
                         .firstLine()
                         .take(MAXIMUM_CAUSE_LENGTH),
                 ).left()
+        } catch (exception: MalformedResponseException) {
+            PlatformError.Malformed(call, "${exception.defect}").left()
         } catch (exception: IOException) {
             PlatformError.Unreachable(call, exception.message ?: exception.javaClass.simpleName).left()
         }
