Test malformed responses at the other readers

The store, peers and engines answer a gateway through fetch, and the router command's callers are answered through requestFlow; both use the Netty client, so that ResponseDecoder covers them.

--- a/src/test/kotlin/org/primrosesill/http/CallerStreamTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/CallerStreamTest.kt
@@ -23,6 +23,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.startsWith
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -141,6 +142,38 @@
         }) {
             expectThat(isComplete(sendRaw(port, chat()))).isEqualTo(true)
         },
+        WireCase("a malformed head is reported without its text", { id ->
+            write("$HEAD$id\r\nX Internal: 1\r\nContent-Length: 5\r\n\r\nhello")
+        }) {
+            val response = sendRaw(port, READ)
+            expectThat(response)
+                .startsWith("HTTP/1.1 502")
+                .contains("\"ran\":\"unknown\"")
+                .not()
+                .contains("Internal")
+        },
+        WireCase("an invalid status is reported without its text", { id ->
+            write("HTTP/1.1 Internal OK\r\nX-Request-Id: $id\r\nContent-Length: 5\r\n\r\nhello")
+        }) {
+            val response = sendRaw(port, READ)
+            expectThat(response)
+                .startsWith("HTTP/1.1 502")
+                .contains("\"ran\":\"unknown\"")
+                .not()
+                .contains("Internal")
+        },
+        WireCase("a malformed chunk is reported without its text", { id ->
+            startStream(id)
+            writeChunk("data: 1\n\n")
+            write("Internal\r\n")
+        }) {
+            val response = sendRaw(port, chat())
+            expectThat(response)
+                .contains("event: error")
+                .contains("\"ran\":\"unknown\"")
+                .not()
+                .contains("Internal")
+        },
     )
 
 class CallerStreamTest {
