Test promises in malformed responses and malformed bodies, and separate the syntax rules of HTTP

A malformed response with X-Not-Executed, 503 or 421 neither lets a request that may run once be sent again nor turns into a promise of the gateway. Malformed chunks are a typed error at the clients of the router command.

--- a/src/main/kotlin/org/primrosesill/model/ResponseDefect.kt
+++ b/src/main/kotlin/org/primrosesill/model/ResponseDefect.kt
@@ -20,20 +20,3 @@
 
 /** Thrown where a response with [defect] is parsed. */
 public class MalformedResponseException(public val defect: ResponseDefect) : IOException(defect.toString())
-
-private val tokenCharacters: Set<Char> =
-    buildSet {
-        addAll('0'..'9')
-        addAll('A'..'Z')
-        addAll('a'..'z')
-        addAll("!#$%&'*+-.^_`|~".toList())
-    }
-
-/** Returns whether [text] is a token (RFC 9110, section 5.6.2), as the names of header fields are. */
-public fun isToken(text: String): Boolean = text.isNotEmpty() && text.all { it in tokenCharacters }
-
-private val statusCodes = 100..599
-
-/** Returns whether [text] is a status of HTTP. */
-public fun isStatusCode(text: String): Boolean =
-    text.length == 3 && text.all { it in '0'..'9' } && text.toInt() in statusCodes
--- a/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
@@ -110,6 +110,18 @@
     fun `a response with a line without a colon is no response`(): List<DynamicTest> =
         testsOf(MalformedResponse("no colon", "${OK}X-Bad\r\n$SIGNED$LENGTH\r\n$EVENT", ResponseDefect.OTHER_HEAD))
 
+    // Guards against a request that is sent again, or rejected as not run, by the word of a malformed response.
+    @TestFactory
+    fun `a malformed response does not show that the request has not run`(): List<DynamicTest> =
+        listOf(
+            "HTTP/1.1 000 OK\r\n" to ResponseDefect.STATUS,
+            "HTTP/1.1 503 Busy\r\nX Bad: 1\r\n" to ResponseDefect.FIELD_NAME,
+            "HTTP/1.1 421 Other\r\nX Bad: 1\r\n" to ResponseDefect.FIELD_NAME,
+        ).flatMap { (head, defect) ->
+            val text = "$head${SIGNED}X-Not-Executed: 1\r\n$LENGTH\r\n$EVENT"
+            testsOf(MalformedResponse("'${escaped(head)}'", text, defect))
+        }
+
     // Guards against what follows a switch of protocols, which no request asks for, and is taken for a response.
     @TestFactory
     fun `what follows a switch of protocols is no response`(): List<DynamicTest> =
--- a/src/test/kotlin/org/primrosesill/http/MalformedServerTest.kt
+++ b/src/test/kotlin/org/primrosesill/http/MalformedServerTest.kt
@@ -70,6 +70,16 @@
             "HTTP/1.1 200 OK\r\nX-Bad\r\n",
         ).flatMap { head -> calls.map { call -> testOf(call, head, succeeds = false) } }
 
+    // Guards against an exception in place of a typed error.
+    @TestFactory
+    fun `a response with a malformed body is no response`(): List<DynamicTest> =
+        listOf("x\r\n", "-1\r\n", "99999999999999999999\r\n", "1\r\n{}\r\n").flatMap { chunk ->
+            calls.filter { it.body.isNotEmpty() }.map { call ->
+                val text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n$chunk"
+                testOf(call, "chunk '${chunk.trim()}'", text, succeeds = false)
+            }
+        }
+
     // The Ktor client takes four digits for the three digits that they equal as a number; see KNOWN-RED.txt.
     @Tag("known-red")
     @TestFactory
@@ -85,11 +95,16 @@
             "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09AZaz: 1\r\n",
         ).flatMap { head -> calls.map { call -> testOf(call, head, succeeds = true) } }
 
-    private fun testOf(call: Call, head: String, succeeds: Boolean): DynamicTest =
-        dynamicTest("${call.name}, ${head.map { if (it in ' '..'~') it else '_' }.joinToString("")}") {
+    private fun testOf(call: Call, head: String, succeeds: Boolean): DynamicTest {
+        val text = "${head}Content-Length: ${call.body.length}\r\n\r\n${call.body}"
+        return testOf(call, head.map { if (it in ' '..'~') it else '_' }.joinToString(""), text, succeeds)
+    }
+
+    private fun testOf(call: Call, name: String, response: String, succeeds: Boolean): DynamicTest =
+        dynamicTest("${call.name}, $name") {
             RawUpstream { connection ->
                 connection.readRequest()
-                connection.write("${head}Content-Length: ${call.body.length}\r\n\r\n${call.body}")
+                connection.write(response)
                 connection.awaitClosed(timeoutMillis = 300)
             }.use { server ->
                 expectThat(runBlocking { call.succeeds(server.address) }).isEqualTo(succeeds)
