Reject a response that is not in HTTP/1

Callers saw: a response whose status line began with HTTP/0.9, HTTP/2.0 or http/1.1 was delivered as a response of HTTP/1.1.

Cause: Netty's decoder accepts any version of two numbers, in any case.

Change: ResponseDecoder accepts HTTP/1 with one digit as the minor version, as RFC 9112 states it, and reports others as a defect.

Why it works: the version is checked as it was received, before Netty normalizes it.

--- a/src/main/kotlin/org/primrosesill/model/ResponseDefect.kt
+++ b/src/main/kotlin/org/primrosesill/model/ResponseDefect.kt
@@ -8,6 +8,7 @@
 
 /** A violation of HTTP (RFC 9110 and 9112) in a response. */
 public enum class ResponseDefect(public val description: String) {
+    VERSION("the protocol version is not HTTP/1"),
     STATUS("the status is not three digits from 100 to 599"),
     FIELD_NAME("the name of a header field is not a token"),
     FRAMING("the length of the body is ambiguous"),
--- a/src/main/kotlin/org/primrosesill/transport/ResponseDecoder.kt
+++ b/src/main/kotlin/org/primrosesill/transport/ResponseDecoder.kt
@@ -12,6 +12,7 @@
 import io.netty.util.AsciiString
 import org.primrosesill.model.MalformedResponseException
 import org.primrosesill.model.ResponseDefect
+import org.primrosesill.model.isHttp1Version
 import org.primrosesill.model.isStatusCode
 import org.primrosesill.model.isToken
 
@@ -22,8 +23,12 @@
     /** Whether received bytes do not form a complete message yet. */
     val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
 
-    /** [statusLine] holds the version, the status and the reason phrase. Netty accepts any number as the status. */
+    /**
+     * [statusLine] holds the version, the status and the reason phrase. Netty accepts other versions, and any number as the
+     * status.
+     */
     override fun createMessage(statusLine: Array<String>): HttpMessage {
+        if (!isHttp1Version(statusLine[VERSION_INDEX])) throw MalformedResponseException(ResponseDefect.VERSION)
         if (!isStatusCode(statusLine[STATUS_INDEX])) throw MalformedResponseException(ResponseDefect.STATUS)
         return super.createMessage(statusLine)
     }
@@ -43,6 +48,7 @@
         isHeadRequest || super.isContentAlwaysEmpty(message)
 
     private companion object {
+        const val VERSION_INDEX = 0
         const val STATUS_INDEX = 1
         const val COLON = ':'.code.toByte()
     }
--- a/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/MalformedResponseTest.kt
@@ -66,6 +66,25 @@
             testsOf(MalformedResponse("status '$it'", text, ResponseDefect.STATUS))
         }
 
+    // Guards against a response in another protocol or version, whose framing may differ.
+    @TestFactory
+    fun `a response that is not in HTTP 1 is no response`(): List<DynamicTest> =
+        listOf(
+            "HTTP/0.9",
+            "HTTP/1",
+            "HTTP/1.10",
+            "HTTP/2.0",
+            "HTTP/2",
+            "HTTPS/1.1",
+            "ICY",
+            "RTSP/1.0",
+            "http/1.1",
+            "1.1",
+        ).flatMap { version ->
+            val text = "$version 200 OK\r\n$SIGNED$LENGTH\r\n$EVENT"
+            testsOf(MalformedResponse("version '$version'", text, ResponseDefect.VERSION))
+        }
+
     // Guards against a response in which the name of a field is no token, and that reaches the caller with this line or
     // with a body that is framed by it (issue 52).
     @TestFactory
@@ -252,6 +271,7 @@
             "HTTP/1.1 200" to "",
             "HTTP/1.1 200 " to "",
             "HTTP/1.0 200 OK" to "",
+            "HTTP/1.2 200 OK" to "",
             "HTTP/1.1 299 Other" to "",
             "HTTP/1.1 404 Not Found" to "",
             "HTTP/1.1 599 Other" to "",
