Go on writing events after a failed write, and cut long causes

Callers saw nothing; operators did. After one failed write to its output (or one lack of memory) a process recorded no event any more, as the writer's thread had ended. An event could quote a megabyte that others had sent, and 4,096 events may wait.

Cause: the thread caught nothing; `cause` had no limit.

Change: the writer drops the batch that failed, counts it as dropped and goes on; a cause has at most 2,000 characters. `flush` counts the unwritten events: before, it could return between the moment an event left the queue and the mark that it is being written.

Evidence: BoundedEventLogTest on: 2 of 3 tests failed ("events after a failed write are written", "a long cause is cut"); the second failed on the changed writer too until `flush` was corrected. 3 of 3 pass now.

--- a/src/main/kotlin/org/primrosesill/event/BoundedEventLog.kt
+++ b/src/main/kotlin/org/primrosesill/event/BoundedEventLog.kt
@@ -60,7 +60,10 @@
     private val queue = ArrayBlockingQueue<EventRecord>(QUEUE_CAPACITY)
     private val sequence = AtomicLong()
     private val droppedEvents = AtomicLong()
-    private val writing = AtomicLong()
+    private val unwrittenEvents = AtomicLong()
+
+    /** Number of dropped events that was reported last. */
+    private var reportedCount = 0L
 
     init {
         thread(isDaemon = true, name = "events") { writeBatches() }
@@ -74,37 +77,57 @@
             return
         }
         val record = factory.create(sequence.incrementAndGet(), type, cause, subject)
-        if (!queue.offer(record)) droppedEvents.incrementAndGet()
+        unwrittenEvents.incrementAndGet()
+        if (queue.offer(record)) return
+        unwrittenEvents.decrementAndGet()
+        droppedEvents.incrementAndGet()
     }
 
     override fun flush(millis: Long) {
         val end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis)
-        while ((queue.isNotEmpty() || writing.get() > 0) && System.nanoTime() < end) Thread.sleep(1)
+        while (unwrittenEvents.get() > 0 && System.nanoTime() < end) Thread.sleep(1)
     }
 
     private fun writeBatches() {
         val batch = ArrayList<EventRecord>(MAXIMUM_BATCH_SIZE)
-        var reportedCount = 0L
         while (true) {
-            val first = queue.take()
-            writing.set(1)
-            Thread.sleep(BATCH_DELAY_MILLIS)
-            batch += first
-            queue.drainTo(batch, MAXIMUM_BATCH_SIZE - 1)
-            val lines = StringBuilder()
-            batch.forEach { lines.append(Json.encodeToString(it)).append('\n') }
-            batch.clear()
-            output.write(lines.toString().toByteArray())
-            output.flush()
-            writing.set(0)
-            val droppedCount = dropped
-            if (droppedCount > reportedCount) {
-                reportedCount = droppedCount
-                record(
-                    EventType.EVENTS_DROPPED,
-                    "$droppedCount events dropped since the start because the output is slow",
-                )
+            try {
+                takeInto(batch)
+                write(batch)
+            } catch (
+                @Suppress("TooGenericExceptionCaught") _: Throwable,
+            ) {
+                // The output failed, or the memory is exhausted: the batch is lost, and later events must be written.
+                droppedEvents.addAndGet(batch.size.toLong())
+            } finally {
+                unwrittenEvents.addAndGet(-batch.size.toLong())
+                batch.clear()
             }
         }
     }
+
+    /** Waits for an event, and moves it and those of the next moment to [batch]. */
+    private fun takeInto(batch: MutableList<EventRecord>) {
+        batch += queue.take()
+        Thread.sleep(BATCH_DELAY_MILLIS)
+        queue.drainTo(batch, MAXIMUM_BATCH_SIZE - 1)
+    }
+
+    private fun write(batch: List<EventRecord>) {
+        val lines = StringBuilder()
+        batch.forEach { lines.append(Json.encodeToString(it)).append('\n') }
+        output.write(lines.toString().toByteArray())
+        output.flush()
+        recordDropped()
+    }
+
+    private fun recordDropped() {
+        val droppedCount = dropped
+        if (droppedCount <= reportedCount) return
+        reportedCount = droppedCount
+        record(
+            EventType.EVENTS_DROPPED,
+            "$droppedCount events dropped since the start because the output is slow or failed",
+        )
+    }
 }
--- a/src/main/kotlin/org/primrosesill/event/EventLog.kt
+++ b/src/main/kotlin/org/primrosesill/event/EventLog.kt
@@ -65,13 +65,18 @@
             availabilityZone = availabilityZone,
             sequence = sequence,
             type = type,
-            cause = cause,
+            cause = cause.take(MAXIMUM_CAUSE_CHARACTERS),
             configurationRevision = subject.configurationRevision,
             request = subject.request,
             upstream = subject.upstream,
             customer = subject.customer,
             subject = subject.subject,
         )
+
+    private companion object {
+        /** A cause may quote what others sent; queued events must take a bounded part of the memory. */
+        const val MAXIMUM_CAUSE_CHARACTERS = 2_000
+    }
 }
 
 private class JsonEventLog(private val factory: EventRecordFactory, private val output: PrintStream) : EventLog {
--- a/src/test/kotlin/org/primrosesill/event/BoundedEventLogTest.kt
+++ b/src/test/kotlin/org/primrosesill/event/BoundedEventLogTest.kt
@@ -12,6 +12,7 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import java.io.OutputStream
 import java.util.concurrent.CountDownLatch
 
@@ -41,11 +42,42 @@
         println("20100 events recorded in $millis ms, $dropped dropped")
         output.unblocked.countDown()
         log.flush(5_000)
-        Thread.sleep(200)
         val lines = written.toString().lines()
         expectThat(dropped).isGreaterThan(10_000)
         expectThat(lines.count { "upstream-lost" in it }).isEqualTo(100)
         expectThat(lines.size).isLessThan(5_000)
         expectThat(written.toString()).contains("events-dropped")
     }
+
+    // Guards against a process that writes no events any more after its output has failed once.
+    @Test
+    fun `events after a failed write are written`() {
+        val written = ByteArrayOutputStream()
+        var failures = 0
+        val output =
+            object : OutputStream() {
+                override fun write(byte: Int) = written.write(byte)
+
+                override fun write(bytes: ByteArray) {
+                    if (failures++ == 0) throw IOException("no space left")
+                    written.write(bytes)
+                }
+            }
+        val log = boundedEventLog("p", AvailabilityZoneId("a"), output) { 0 }
+        log.record(EventType.UPSTREAM_LOST, "first")
+        log.flush(5_000)
+        log.record(EventType.UPSTREAM_LOST, "second")
+        log.flush(5_000)
+        expectThat(written.toString()).contains("second")
+    }
+
+    // Guards against events that quote a megabyte each, thousands of which wait to be written.
+    @Test
+    fun `a long cause is cut`() {
+        val written = ByteArrayOutputStream()
+        val log = boundedEventLog("p", AvailabilityZoneId("a"), written) { 0 }
+        log.record(EventType.ITEM_REFUSED, "x".repeat(1_000_000))
+        log.flush(5_000)
+        expectThat(written.size()).isGreaterThan(1_000).isLessThan(3_000)
+    }
 }
