Restart loops after any failure

The router command lost a loop at its first exception.

Cause: launchWithRestart restarted a loop after an Exception only; an Error, or the cancellation of something else, ended it. The loops of the router and the recovery of held parts were launched without it; the thread that receives datagrams ended at the first error.

Change: launchWithRestart goes on after anything but the cancellation of its scope, also when the failure cannot be reported for lack of memory. launchEvery is built on it. All loops of gateways and routers use one of them, and the receiver of datagrams goes on as well. `primrosesill_process_faults` counts failures.

--- a/src/main/kotlin/org/primrosesill/command/RehearsalCommand.kt
+++ b/src/main/kotlin/org/primrosesill/command/RehearsalCommand.kt
@@ -12,6 +12,7 @@
 import com.github.ajalt.clikt.core.parse
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import org.primrosesill.concurrent.ExceptionReporter
 import org.primrosesill.contract.GatewaySettingsValidator
 import org.primrosesill.event.boundedEventLog
 import org.primrosesill.gateway.startGateway
@@ -48,7 +49,7 @@
     }
 
     private suspend fun rehearse(): List<Int> {
-        val loop = TrafficLoop { commandFailed("rehearsal: uncaught exception: $it") }
+        val loop = TrafficLoop(ExceptionReporter { commandFailed("rehearsal: uncaught exception: $it") })
         val upstream = startHttpListener(loop, "127.0.0.1:0", ::ListenerLimits, rehearsalUpstream())
         val client = nettyUpstreamClient(loop)
         // Also loads the classes of the store client. The address has no listener, so the call takes the error path.
--- a/src/main/kotlin/org/primrosesill/concurrent/ControlThread.kt
+++ b/src/main/kotlin/org/primrosesill/concurrent/ControlThread.kt
@@ -8,8 +8,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import java.util.concurrent.Executors
 import kotlin.time.Duration
@@ -36,12 +34,16 @@
 }
 
 /**
- * Runs [action] periodically until the scope is cancelled. [interval] is measured from start to start; an action that
- * takes longer delays the next one.
+ * Runs [action] periodically until the scope is cancelled, also after a failure, which is passed to [reporter]. [interval] is
+ * measured from start to start; an action that takes longer delays the next one.
  */
-public fun CoroutineScope.launchEvery(interval: Duration, action: suspend () -> Unit): Job =
-    launch {
-        while (isActive) {
+public fun CoroutineScope.launchEvery(
+    interval: Duration,
+    reporter: ExceptionReporter,
+    action: suspend () -> Unit,
+): Job =
+    launchWithRestart(reporter) {
+        while (true) {
             val startedAt = TimeSource.Monotonic.markNow()
             action()
             delay(interval - startedAt.elapsedNow())
--- a/src/main/kotlin/org/primrosesill/concurrent/ExceptionReporting.kt
+++ b/src/main/kotlin/org/primrosesill/concurrent/ExceptionReporting.kt
@@ -1,5 +1,6 @@
 /*
- * Handling of uncaught exceptions: an exception ends only the coroutine in which it is thrown, and is reported.
+ * Handling of uncaught exceptions and errors: one ends only the coroutine in which it is thrown, and is reported. Loops that a
+ * process needs as long as it runs are restarted after it.
  */
 package org.primrosesill.concurrent
 
@@ -8,9 +9,9 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import kotlin.coroutines.cancellation.CancellationException
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Reports uncaught exceptions. Called on the thread on which the exception was thrown. */
@@ -30,8 +31,8 @@
     "$error at ${error.stackTrace.firstOrNull { it.className.startsWith(PACKAGE) } ?: error.stackTrace.firstOrNull()}"
 
 /**
- * Runs [loop], and restarts it after an exception, so that one bad input does not end it permanently. It is not
- * restarted after it returns.
+ * Runs [loop], and restarts it after any failure, errors such as an exhausted memory included: a process whose loop has ended
+ * would go on with what it knew then. It is not restarted after it returns or its scope is cancelled.
  */
 public fun CoroutineScope.launchWithRestart(reporter: ExceptionReporter, loop: suspend () -> Unit): Job =
     launch {
@@ -39,16 +40,25 @@
             try {
                 coroutineScope { loop() }
                 return@launch
-            } catch (cancellation: CancellationException) {
-                throw cancellation
             } catch (
-                @Suppress("TooGenericExceptionCaught") exception: Exception,
+                @Suppress("TooGenericExceptionCaught") failure: Throwable,
             ) {
-                reporter.report(exception)
+                // A cancellation that is not that of this loop is a failure like any other.
+                ensureActive()
+                reporter.reportIfPossible(failure)
                 delay(RESTART_DELAY)
             }
         }
     }
 
+/** Reports [failure], unless the failure itself, such as an exhausted memory, prevents that: its loop has to restart. */
+public fun ExceptionReporter.reportIfPossible(failure: Throwable) {
+    try {
+        report(failure)
+    } catch (_: VirtualMachineError) {
+        // A lack of memory or stack leaves nothing to report it with.
+    }
+}
+
 private const val PACKAGE = "org.primrosesill"
 private val RESTART_DELAY = 200.milliseconds
--- a/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/Gateway.kt
@@ -3,8 +3,7 @@
  */
 package org.primrosesill.gateway
 
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+import org.primrosesill.concurrent.launchEvery
 import org.primrosesill.concurrent.launchWithRestart
 import org.primrosesill.event.EventLog
 import org.primrosesill.forwarding.PlatformAdapter
@@ -54,14 +53,11 @@
 }
 
 private fun startControlLoops(components: GatewayComponents) {
-    components.controlScope.launchWithRestart(components.exceptionReporter) { components.platformLoop.run() }
-    components.controlScope.launch { components.heldPartsRecovery.run() }
+    val scope = components.controlScope
+    val reporter = components.exceptionReporter
+    scope.launchWithRestart(reporter) { components.platformLoop.run() }
+    scope.launchWithRestart(reporter) { components.heldPartsRecovery.run() }
     components.gossipSocket.start()
-    components.controlScope.launchWithRestart(components.exceptionReporter) { components.exchangeLoop.run() }
-    components.controlScope.launchWithRestart(components.exceptionReporter) {
-        while (true) {
-            components.tick()
-            delay(TICK_INTERVAL)
-        }
-    }
+    scope.launchWithRestart(reporter) { components.exchangeLoop.run() }
+    scope.launchEvery(TICK_INTERVAL, reporter) { components.tick() }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GatewayComponents.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.launch
 import org.primrosesill.concurrent.ControlThread
 import org.primrosesill.concurrent.ExceptionReporter
-import org.primrosesill.concurrent.describeException
 import org.primrosesill.concurrent.exceptionHandler
 import org.primrosesill.discovery.DirectoryView
 import org.primrosesill.discovery.UpstreamDirectory
@@ -27,8 +26,6 @@
 import org.primrosesill.forwarding.forwarder
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.GatewaySettings
-import org.primrosesill.generated.Member
-import org.primrosesill.generated.MemberState
 import org.primrosesill.load.DispatchCorrection
 import org.primrosesill.load.ServiceConcurrency
 import org.primrosesill.load.SilentUpstreams
@@ -36,9 +33,6 @@
 import org.primrosesill.load.UpstreamLoads
 import org.primrosesill.load.UpstreamNotices
 import org.primrosesill.load.upstreamSpeeds
-import org.primrosesill.model.RouterId
-import org.primrosesill.model.SocketAddress
-import org.primrosesill.model.parseSocketAddress
 import org.primrosesill.placement.ColdStartBound
 import org.primrosesill.placement.ColdStartBudget
 import org.primrosesill.placement.CrashingParts
@@ -51,7 +45,6 @@
 import org.primrosesill.transport.TrafficLoop
 import org.primrosesill.transport.UpstreamClientSettings
 import org.primrosesill.transport.nettyUpstreamClient
-import java.util.UUID
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -66,8 +59,9 @@
 ) {
     val reloadableSettings = ReloadableSettings(initialSettings, events)
     val settings: GatewaySettings get() = reloadableSettings.value
-    val exceptionReporter = ExceptionReporter { events.record(EventType.PROCESS_FAULT, describeException(it)) }
-    val trafficLoop = TrafficLoop(exceptionReporter)
+    private val faults = ProcessFaults(events)
+    val exceptionReporter: ExceptionReporter = faults
+    val trafficLoop = TrafficLoop(exceptionReporter, faults::exitWithoutTraffic)
     val controlThread = ControlThread()
     val controlScope = CoroutineScope(SupervisorJob() + controlThread.dispatcher + exceptionHandler(exceptionReporter))
 
@@ -113,7 +107,7 @@
     private val upstreamStateReconciler = UpstreamStateReconciler(activity, loads, index, coldStartBudget, speeds)
     private val peerClient = PeerClient(client)
     val gossipSocket: GossipSocket =
-        GossipSocket(peerSocketAddress(settings), settings.gossipPort, events, controlScope) {
+        GossipSocket(peerSocketAddress(settings), settings.gossipPort, events, controlScope, exceptionReporter) {
             exchangeLoop.receive(it)
         }
     private val seeds = settings.peers.toSet() - settings.peerAddress
@@ -206,6 +200,7 @@
         metrics.gauge("prompt.parts.suspect") { crashingParts.suspectCount }
         metrics.gauge("service.requests.in.progress") { services.requestsInProgress }
         metrics.gauge("upstreams.slow") { speeds.countSlow(SLOW) }
+        metrics.gauge("process.faults") { faults.count }
         metrics.gauge("configuration.version") { directory.view.configuration?.version ?: 0 }
     }
 
@@ -273,21 +268,5 @@
     }
 }
 
-private fun peerSocketAddress(settings: GatewaySettings): SocketAddress =
-    parseSocketAddress(settings.peerAddress).fold({ error("invalid peer address: $it") }, { it })
-
 private fun retryLimit(settings: GatewaySettings) =
     RetryLimit(settings.retryRatio, settings.retryWindowMillis, settings.retryFixed.toInt())
-
-/** 12 hexadecimal digits, 48 bits: enough to distinguish incarnations, and short, as exchange messages hold the ids. */
-private const val ROUTER_ID_LENGTH = 12
-
-private fun newMember(settings: GatewaySettings) =
-    Member(
-        router = RouterId(UUID.randomUUID().toString().takeLast(ROUTER_ID_LENGTH)),
-        address = settings.peerAddress,
-        availabilityZone = settings.availabilityZone,
-        startedAtMillis = System.currentTimeMillis(),
-        heartbeat = 0,
-        state = MemberState.LIVE,
-    )
--- a/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/GossipSocket.kt
@@ -8,7 +8,11 @@
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
+import org.primrosesill.concurrent.ExceptionReporter
+import org.primrosesill.concurrent.launchWithRestart
+import org.primrosesill.concurrent.reportIfPossible
 import org.primrosesill.event.EventLog
+import org.primrosesill.event.faultReporter
 import org.primrosesill.generated.EventType
 import org.primrosesill.generated.ExchangeMessage
 import org.primrosesill.http.messageJson
@@ -36,6 +40,7 @@
     private val port: Int,
     private val events: EventLog,
     private val scope: CoroutineScope,
+    private val reporter: ExceptionReporter = faultReporter(events),
     private val onMessage: (ExchangeMessage) -> Unit,
 ) : AutoCloseable {
     private val channel = DatagramChannel.open().bind(ownAddress.copy(port = port).toInetSocketAddress())
@@ -45,7 +50,7 @@
 
     /** Starts receiving. */
     fun start() {
-        scope.launch { for (message in received) scope.launch { onMessage(message) }.join() }
+        scope.launchWithRestart(reporter) { for (message in received) scope.launch { onMessage(message) }.join() }
         receiver = thread(isDaemon = true, name = "gossip") { receiveAll() }
     }
 
@@ -77,11 +82,7 @@
         val buffer = ByteBuffer.allocate(MAXIMUM_DATAGRAM_BYTES)
         while (channel.isOpen) {
             try {
-                buffer.clear()
-                channel.receive(buffer)
-                buffer.flip()
-                val text = Charsets.UTF_8.decode(buffer).toString()
-                received.trySend(messageJson.decodeFromString(ExchangeMessage.serializer(), text))
+                received.trySend(receiveMessage(buffer))
             } catch (_: ClosedChannelException) {
                 return
             } catch (exception: IOException) {
@@ -89,10 +90,23 @@
             } catch (exception: IllegalArgumentException) {
                 // Thrown for malformed JSON and for values that their types do not allow.
                 recordFault("received datagram is not an exchange message: ${exception.firstLine()}")
+            } catch (
+                @Suppress("TooGenericExceptionCaught") failure: Throwable,
+            ) {
+                // Without this thread the gateway would no longer receive from its peers.
+                reporter.reportIfPossible(failure)
             }
         }
     }
 
+    private fun receiveMessage(buffer: ByteBuffer): ExchangeMessage {
+        buffer.clear()
+        channel.receive(buffer)
+        buffer.flip()
+        val text = Charsets.UTF_8.decode(buffer).toString()
+        return messageJson.decodeFromString(ExchangeMessage.serializer(), text)
+    }
+
     /** Records the first fault and every hundredth after it. */
     private fun recordFault(cause: String) {
         if (faults++ % FAULTS_PER_EVENT == 0L) events.record(EventType.ITEM_REFUSED, "$cause; $faults faults so far")
--- a/src/main/kotlin/org/primrosesill/router/RouterComponents.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterComponents.kt
@@ -15,11 +15,10 @@
 import org.primrosesill.claim.quorumKeyClaims
 import org.primrosesill.claim.quorumSlotClaims
 import org.primrosesill.concurrent.ControlThread
-import org.primrosesill.concurrent.describeException
 import org.primrosesill.configuration.DocumentStore
 import org.primrosesill.event.EventLog
+import org.primrosesill.event.faultReporter
 import org.primrosesill.exchange.PartTable
-import org.primrosesill.generated.EventType
 import org.primrosesill.generated.Member
 import org.primrosesill.generated.MemberState
 import org.primrosesill.generated.RouterSettings
@@ -53,6 +52,7 @@
     val currentMillis: () -> Long = System::currentTimeMillis,
 ) : AutoCloseable {
     val stopping = AtomicBoolean()
+    val exceptionReporter = faultReporter(events)
     val control = ControlThread()
     val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val peers = peerClient(token = settings.peerToken)
@@ -68,7 +68,7 @@
                 .takeIf { it.hasCandidateSource }
                 ?.possiblyAliveSince(instant)
         }
-    private val trafficLoop = TrafficLoop { events.record(EventType.PROCESS_FAULT, describeException(it)) }
+    private val trafficLoop = TrafficLoop(exceptionReporter)
     private val claimTable = ClaimTable(self.router, self.startedAtMillis, claimSettings, knownRouters)
     val voter = ClaimVoter(control, claimTable, { keyClaims }, currentMillis)
     private val claimContext =
--- a/src/main/kotlin/org/primrosesill/router/RouterStart.kt
+++ b/src/main/kotlin/org/primrosesill/router/RouterStart.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.primrosesill.concurrent.launchEvery
+import org.primrosesill.concurrent.launchWithRestart
 import org.primrosesill.event.EventLog
 import org.primrosesill.event.jsonEventLog
 import org.primrosesill.generated.EventType
@@ -133,12 +134,17 @@
     val exchange = ExchangeLoop(components.control, components.state, components.peers, components.currentMillis)
     val polling = LoadPollLoop(components.control, components.state, components.loadReports, components.currentMillis)
     val catchUp = CatchUpLoop(components.control, components.state, components.peers, components.currentMillis)
-    scope.launchEvery(settings.exchangeInterval) { exchange.runRound() }
-    scope.launchEvery(LOAD_POLL_INTERVAL) { polling.poll() }
-    scope.launchEvery(CATCH_UP_INTERVAL) { catchUp.catchUp() }
-    scope.launchEvery(TICK_INTERVAL) { components.control.run { components.state.tick(components.currentMillis()) } }
-    if (settings.platformAddress.isNotEmpty()) scope.launch { platformLoop(settings, components).run() }
-    scope.launchEvery(TOKEN_REPORT_INTERVAL) { components.limits.report() }
+    val reporter = components.exceptionReporter
+    scope.launchEvery(settings.exchangeInterval, reporter) { exchange.runRound() }
+    scope.launchEvery(LOAD_POLL_INTERVAL, reporter) { polling.poll() }
+    scope.launchEvery(CATCH_UP_INTERVAL, reporter) { catchUp.catchUp() }
+    scope.launchEvery(TICK_INTERVAL, reporter) {
+        components.control.run { components.state.tick(components.currentMillis()) }
+    }
+    if (settings.platformAddress.isNotEmpty()) {
+        scope.launchWithRestart(reporter) { platformLoop(settings, components).run() }
+    }
+    scope.launchEvery(TOKEN_REPORT_INTERVAL, reporter) { components.limits.report() }
     scope.launch { recordWhenReady(components) }
 }
 
--- a/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
+++ b/src/main/kotlin/org/primrosesill/transport/TrafficLoop.kt
@@ -21,10 +21,17 @@
 import org.primrosesill.request.BufferBudget
 import java.util.concurrent.TimeUnit
 
-/** A running event loop with its coroutine scope. Uncaught exceptions of its coroutines are reported to `reporter`. */
-public class TrafficLoop(reporter: ExceptionReporter) : AutoCloseable {
+/**
+ * A running event loop with its coroutine scope. Uncaught exceptions of its coroutines are reported to `reporter`.
+ *
+ * @param onTerminated called if the thread of the loop ends although the loop was not closed
+ */
+public class TrafficLoop(reporter: ExceptionReporter, private val onTerminated: () -> Unit = {}) : AutoCloseable {
     private val group: NioEventLoopGroup
 
+    @Volatile
+    private var isClosed = false
+
     init {
         configureNetty()
         group = NioEventLoopGroup(1, DefaultThreadFactory("traffic", true))
@@ -32,6 +39,11 @@
 
     internal val eventLoop: EventLoop = group.next()
 
+    init {
+        // Netty lets some errors end the thread.
+        eventLoop.terminationFuture().addListener { if (!isClosed) onTerminated() }
+    }
+
     /** Unpooled: buffers are used by one thread and for one read or write, so that a pool would only retain memory. */
     internal val allocator: ByteBufAllocator = UnpooledByteBufAllocator(false)
 
@@ -45,6 +57,7 @@
     public val scope: CoroutineScope = CoroutineScope(SupervisorJob() + dispatcher + exceptionHandler(reporter))
 
     override fun close() {
+        isClosed = true
         scope.cancel()
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
     }
