Limit what a gateway keeps of values that it cannot use

Cause: ItemHistory kept the last 8 values of up to 8 keys for deltas, whatever the key and whether or not a value can be read: 64 values of 2 MB in a heap of 160 MB. The error fell between the record of an item and its effect, so that the item would have been lost even by a loop that goes on. Unreadable values were kept and relayed whole, without a bound in size and number.

Change: of a value that nobody can use 500 characters at most remain (LimitedValues); readable entries of over 2,000 characters are written anew from the fields in use. The history has values of the configuration only. DirectoryItems keeps 2,048 items without a use and then the newest half; the recorded span starts later by as much. Items are recorded after their effect. A decoder that fails costs its item only. An unreadable item is logged once, and once when it is readable again (item-accepted, new). Errors quote a limited part of a value. What items mean has moved from UpstreamDirectory to DirectoryContent.

To gateways of earlier versions a replaced value is an unreadable entry like the one before; unknown fields of entries of over 2,000 characters are no longer relayed.

--- a/src/main/kotlin/org/primrosesill/discovery/DirectoryChange.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/DirectoryChange.kt
@@ -31,8 +31,12 @@
 
     public class UpstreamRemoved(public val upstream: UpstreamId, public val reason: String) : DirectoryChange
 
+    /** An item that could be decoded before, or was not known, cannot be decoded. */
     public class ItemRejected(public val key: String, public val reason: String) : DirectoryChange
 
+    /** An item that could not be decoded before can be decoded. */
+    public class ItemAccepted(public val key: String) : DirectoryChange
+
     /** The platform was restored from a copy. [held] items contradict later changes and are not applied yet. */
     public class PlatformRestored(public val before: PlatformRevision, public val held: Int) : DirectoryChange
 
--- a/src/main/kotlin/org/primrosesill/discovery/ItemHistory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/ItemHistory.kt
@@ -1,6 +1,5 @@
 /*
- * The last values of large items, so that a change of such an item can be sent, received and stored as a delta to one of
- * them.
+ * The last values of the configuration, so that a change of it can be sent, received and stored as a delta to one of them.
  */
 package org.primrosesill.discovery
 
@@ -18,15 +17,19 @@
     /** Digests of the values that this gateway can apply a delta to, the newest one of each item. */
     val digests: List<TextDigest> get() = valuesByKey.values.map { it.last().value.digest }
 
-    /** Records the value of [item] if it is large, and returns the item. It shares the segments of the value before. */
-    fun record(item: PlatformItem): PlatformItem {
+    /** Returns [item] with a value that shares the segments of the last recorded one. */
+    fun sharing(item: PlatformItem): PlatformItem {
+        val last = if (item.isLarge) valuesByKey[item.key]?.lastOrNull() else null
+        return last?.let { sharing(item, it.value) } ?: item
+    }
+
+    /** Records the value of [item] if it is large. */
+    fun record(item: PlatformItem) {
         if (item.isDeleted) valuesByKey.remove(item.key)
-        if (!item.isLarge) return item
+        if (!item.isLarge) return
         val values = valuesByKey.getOrPut(item.key) { ArrayDeque() }
-        val shared = values.lastOrNull()?.let { sharing(item, it.value) } ?: item
-        values += PastValue(item.revision, checkNotNull(shared.segments))
+        values += PastValue(item.revision, checkNotNull(item.segments))
         if (values.size > VALUES_PER_ITEM) values.removeFirst()
-        return shared
     }
 
     /** Returns the item that follows from [delta] to a recorded value under [key], or null if there is no such value. */
@@ -57,8 +60,8 @@
     private class PastValue(val revision: Long, val value: SegmentedText)
 
     private companion object {
-        /** The platform has one item with a large value, the configuration. */
-        const val MAXIMUM_ITEMS = 8
+        /** A platform has one configuration. */
+        const val MAXIMUM_ITEMS = 2
 
         /** Enough for a gateway that misses some changes in a row; the values share their segments. */
         const val VALUES_PER_ITEM = 8
--- a/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/PlatformFeed.kt
@@ -85,6 +85,9 @@
     /** Lists all items. */
     public suspend fun list(): Either<FeedError, PlatformListing>
 
+    /** Lists all items, and passes those received so far to [onProgress], each once, while others are still to come. */
+    public suspend fun list(onProgress: (PlatformListing) -> Unit): Either<FeedError, PlatformListing> = list()
+
     /** Waits up to [wait] for changes after [revision]. */
     public suspend fun watch(revision: PlatformRevision, wait: Duration): Either<FeedError, PlatformChanges>
 }
@@ -127,6 +130,15 @@
      */
     public fun decode(item: PlatformItem, previous: DecodedItem.Configuration?): DecodedItem = decode(item)
 
+    /**
+     * Returns [item] with a value of limited length that decodes to the same. A value that cannot be decoded is replaced by a
+     * short one that cannot be decoded either. The configuration is returned as it is.
+     */
+    public fun withLimitedValue(item: PlatformItem): PlatformItem = item
+
+    /** Returns whether the configuration is stored under [key]. */
+    public fun isConfiguration(key: String): Boolean
+
     /** Returns the upstream whose entry is stored under [key], or null when [key] is not that of an entry. */
     public fun upstreamOf(key: String): UpstreamId?
 
--- a/src/main/kotlin/org/primrosesill/discovery/RecordedSpan.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/RecordedSpan.kt
@@ -26,6 +26,9 @@
         }
     }
 
+    /** Returns the span after changes up to [revision] were removed from the record. */
+    fun startingAt(revision: PlatformRevision): RecordedSpan = copy(since = maxOf(since, revision))
+
     companion object {
         /** The span of a directory that holds nothing. */
         val NONE = RecordedSpan(PlatformRevision.NONE, PlatformRevision.NONE)
--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -9,12 +9,11 @@
  */
 package org.primrosesill.discovery
 
-import org.primrosesill.model.AvailabilityZoneId
-import org.primrosesill.route.ServingConfiguration
-
 /**
  * Durations in milliseconds.
  *
+ * @property maximumUnusedItems number of deleted items and of items that cannot be decoded up to which all are kept; peers that
+ *     lack changes from before the kept ones receive the complete content
  * @property recoveryGraceMillis time after an outage of the platform within which entries that expired during the
  *     outage are registered again
  * @property restorationHoldMillis time after a restoration of the platform within which the operator and the upstreams have
@@ -25,6 +24,7 @@
     val recoveryGraceMillis: Long = 2_000,
     val restorationHoldMillis: Long = 4_000,
     val coldMarginMillis: Long = 2_000,
+    val maximumUnusedItems: Int = 2_048,
 )
 
 /** Owned by the control thread. Times are milliseconds of a monotonic clock. */
@@ -32,21 +32,24 @@
     private val decoder: PlatformItemDecoder,
     private val settings: DirectorySettings = DirectorySettings(),
 ) {
-    private val itemsByKey = HashMap<String, PlatformItem>()
-    private val evacuatedZones = HashSet<AvailabilityZoneId>()
+    private val items = DirectoryItems(settings.maximumUnusedItems)
     private val pendingChanges = ArrayList<DirectoryChange>()
     private val history = ItemHistory()
-    private var decodedConfiguration: DecodedItem.Configuration? = null
-    private var configurationValue: SegmentedText? = null
-    private val configuration: ServingConfiguration? get() = decodedConfiguration?.configuration
 
     /** Responses of the platform to this gateway and to others. */
     public val reachability: PlatformReachability = PlatformReachability()
 
     private val entries = UpstreamEntries(reachability, settings.recoveryGraceMillis) { pendingChanges += it }
+    private val content = DirectoryContent(decoder, items, history, entries, settings) { pendingChanges += it }
     private val restoredItems = RestoredItems(decoder, settings.restorationHoldMillis, entries::registrationOf)
     private var recorded = RecordedSpan.NONE
 
+    /** Revision up to which changes may have been removed from [items]. */
+    private var removedUpTo = PlatformRevision.NONE
+
+    /** Era of the items that were applied while the first listing was incomplete, or null. */
+    private var incompleteEra: Long? = null
+
     /** The revision of the platform up to which no change is missing. */
     public val revision: PlatformRevision get() = recorded.upTo
 
@@ -61,18 +64,30 @@
     public fun applyListing(listing: PlatformListing, nowMillis: Long): List<DirectoryChange> {
         if (rejectOlderEra(listing.revision)) return drainChanges()
         if (listing.revision.era > revision.era) return startEra(listing, nowMillis)
-        applyContent(listing, nowMillis)
+        applyComplete(listing, nowMillis)
         recorded = recorded.afterListing(listing.revision)
-        return drainChanges()
+        return finishUpdate()
     }
 
-    private fun applyContent(content: PlatformListing, nowMillis: Long) {
-        content.items.forEach { apply(it, nowMillis) }
+    /**
+     * Applies [listing], a part of a listing of the platform that is not complete yet. Nothing is deleted, and [revision] does
+     * not advance. Without effect if another era than that of the content begins.
+     */
+    public fun applyIncompleteListing(listing: PlatformListing, nowMillis: Long): List<DirectoryChange> {
+        val isFirst = revision == PlatformRevision.NONE
+        if (!isFirst && listing.revision.era != revision.era) return drainChanges()
+        if (isFirst) incompleteEra = listing.revision.era
+        listing.items.forEach { apply(it, nowMillis) }
+        return finishUpdate()
+    }
+
+    private fun applyComplete(listing: PlatformListing, nowMillis: Long) {
+        listing.items.forEach { apply(it, nowMillis) }
         // A peer's record of a deletion may be older than an item of this directory that was deleted once more.
-        val listed = content.items.filterNot { it.isDeleted }.mapTo(HashSet()) { it.key }
+        val listed = listing.items.filterNot { it.isDeleted }.mapTo(HashSet()) { it.key }
         val missing =
-            itemsByKey.values.filter { !it.isDeleted && it.key !in listed && it.revision <= content.revision.number }
-        missing.forEach { apply(PlatformItem(it.key, content.revision.number, null), nowMillis) }
+            items.values.filter { !it.isDeleted && it.key !in listed && it.revision <= listing.revision.number }
+        missing.forEach { apply(PlatformItem(it.key, listing.revision.number, null), nowMillis) }
     }
 
     private fun rejectOlderEra(received: PlatformRevision): Boolean {
@@ -83,19 +98,29 @@
 
     /** Replaces all items by the first [listing] of a new era. */
     private fun startEra(listing: PlatformListing, nowMillis: Long): List<DirectoryChange> {
+        if (listing.revision.era == incompleteEra) return finishFirstListing(listing, nowMillis)
         val before = revision
-        val previousItems = itemsByKey.values.toList()
-        itemsByKey.clear()
+        val previousItems = items.values
+        items.clear()
         recorded = RecordedSpan.NONE
         if (previousItems.isNotEmpty()) reachability.recordRestoration(nowMillis)
-        val replacement = restoredItems.replace(previousItems, listing, nowMillis)
-        replacement.held.forEach { itemsByKey[it.key] = it }
+        val items = listing.items.map(decoder::withLimitedValue)
+        val replacement = restoredItems.replace(previousItems, PlatformListing(listing.revision, items), nowMillis)
+        replacement.held.forEach { this.items.put(it, ItemUse.USED) }
         replacement.applied.forEach { apply(it, nowMillis) }
         recorded = RecordedSpan(listing.revision, listing.revision)
         if (previousItems.isNotEmpty()) {
             pendingChanges += DirectoryChange.PlatformRestored(before, replacement.held.size)
         }
-        return drainChanges()
+        return finishUpdate()
+    }
+
+    /** Applies [listing], the rest of the first content of the era in which this directory has started. */
+    private fun finishFirstListing(listing: PlatformListing, nowMillis: Long): List<DirectoryChange> {
+        applyComplete(listing, nowMillis)
+        incompleteEra = null
+        recorded = RecordedSpan(listing.revision, listing.revision)
+        return finishUpdate()
     }
 
     /**
@@ -112,13 +137,13 @@
         }
         applyRelayed(since, page, nowMillis)
         entries.removeExpired(nowMillis)
-        return drainChanges()
+        return finishUpdate()
     }
 
     private fun applyRelayed(since: PlatformRevision, page: PlatformChanges, nowMillis: Long) {
         val recordedSince = page.recordedSince
         if (recordedSince != null) {
-            applyContent(PlatformListing(page.revision, page.items), nowMillis)
+            applyComplete(PlatformListing(page.revision, page.items), nowMillis)
             recorded = recorded.mergedWith(RecordedSpan(recordedSince, page.revision))
             return
         }
@@ -131,7 +156,7 @@
 
     /** Removes upstreams whose entries were not registered again in time, and applies held items whose time is over. */
     public fun tick(nowMillis: Long): List<DirectoryChange> {
-        restoredItems.removeDue(nowMillis).forEach { applyEffect(it, nowMillis) }
+        restoredItems.removeDue(nowMillis).forEach { content.apply(it, nowMillis) }
         entries.removeExpired(nowMillis)
         return drainChanges()
     }
@@ -142,9 +167,9 @@
      */
     public fun itemsAfter(since: PlatformRevision): List<PlatformItem> =
         if (recorded.coversChangesAfter(since)) {
-            itemsByKey.values.filter { PlatformRevision(it.revision, revision.era) > since }
+            items.values.filter { PlatformRevision(it.revision, revision.era) > since }
         } else {
-            itemsByKey.values.toList()
+            items.values
         }
 
     /** Digests of the large values to which this gateway can apply a delta. */
@@ -165,84 +190,23 @@
         history.itemAfter(key, revision, delta)
 
     /** Returns an immutable snapshot for the request path. */
-    public fun view(): DirectoryView =
-        DirectoryView(
-            revision,
-            configuration,
-            entries.knownUpstreams(evacuatedZones).groupBy { it.registration.pool },
-            evacuatedZones.toSet(),
-        )
-
-    private fun drainChanges(): List<DirectoryChange> = pendingChanges.toList().also { pendingChanges.clear() }
-
-    private fun apply(item: PlatformItem, nowMillis: Long) {
-        val current = itemsByKey[item.key]
-        if (current != null && item.revision <= current.revision) return
-        // A delayed message may have a value that was deleted before this directory listed, which has left no record.
-        if (!item.isDeleted && item.revision <= revision.number) return
-        val recorded = history.record(item)
-        itemsByKey[item.key] = recorded
-        restoredItems.remove(item.key)
-        applyEffect(recorded, nowMillis)
-    }
+    public fun view(): DirectoryView = content.view(revision)
 
-    private fun applyEffect(item: PlatformItem, nowMillis: Long) {
-        if (item.isDeleted) return applyDeletion(item, nowMillis)
-        when (val decoded = decoder.decode(item, decodedConfiguration)) {
-            is DecodedItem.Configuration -> acceptConfiguration(decoded, item)
-            is DecodedItem.ZoneEvacuated -> evacuateZone(decoded.zone)
-            is DecodedItem.Upstream -> entries.register(decoded.registration, nowMillis)
-            is DecodedItem.Invalid -> rejectItem(item, decoded.reason, nowMillis)
-            DecodedItem.Unrelated -> Unit
-        }
-    }
-
-    private fun acceptConfiguration(decoded: DecodedItem.Configuration, item: PlatformItem) {
-        val received = decoded.configuration
-        val active = configuration
-        if (active != null && received.version <= active.version) {
-            if (received.version < active.version) {
-                pendingChanges += DirectoryChange.StaleConfigurationRejected(received.version, active.version)
-                // Peers receive the active configuration, also one that starts after the platform has lost it.
-                configurationValue?.let {
-                    itemsByKey[item.key] = history.record(PlatformItem(item.key, item.revision, it))
-                }
-            }
-            return
-        }
-        decodedConfiguration = decoded
-        configurationValue = item.segments
-        pendingChanges +=
-            DirectoryChange.ConfigurationAccepted(received.version, decoded.newEntryCount, decoded.entries.size)
-    }
-
-    private fun evacuateZone(zone: AvailabilityZoneId) {
-        if (evacuatedZones.add(zone)) pendingChanges += DirectoryChange.ZoneEvacuated(zone)
-    }
-
-    /**
-     * Handles an invalid entry like a removed one, so that an earlier, valid entry under its key is no longer used.
-     */
-    private fun rejectItem(item: PlatformItem, reason: String, nowMillis: Long) {
-        pendingChanges += DirectoryChange.ItemRejected(item.key, reason)
-        decoder.upstreamOf(item.key)?.let { entries.onEntryRemoved(it, nowMillis) }
+    /** Removes what exceeds the limits, and returns the changes of the update. */
+    private fun finishUpdate(): List<DirectoryChange> {
+        items.removeExcess(revision.number)?.let { removedUpTo = PlatformRevision(it, revision.era) }
+        recorded = recorded.startingAt(removedUpTo)
+        return drainChanges()
     }
 
-    private fun applyDeletion(item: PlatformItem, nowMillis: Long) {
-        decoder.upstreamOf(item.key)?.let { entries.onEntryRemoved(it, nowMillis) }
-        decoder.evacuatedZoneOf(item.key)?.let { restoreZone(it, nowMillis) }
-    }
+    private fun drainChanges(): List<DirectoryChange> = pendingChanges.toList().also { pendingChanges.clear() }
 
-    /**
-     * Ends the evacuation of [zone] and counts its upstreams as cold: without traffic they may have become cold, which
-     * they report only in their next entry.
-     */
-    private fun restoreZone(zone: AvailabilityZoneId, nowMillis: Long) {
-        if (!evacuatedZones.remove(zone)) return
-        pendingChanges += DirectoryChange.ZoneRestored(zone)
-        entries.countAsCold(zone) { pool ->
-            val coldStart = configuration?.pools?.get(pool)?.coldStart
-            coldStart?.let { nowMillis + it.duration.inWholeMilliseconds + settings.coldMarginMillis }
-        }
+    private fun apply(received: PlatformItem, nowMillis: Long) {
+        val current = items[received.key]
+        if (current != null && received.revision <= current.revision) return
+        // A delayed message may have a value that was deleted before this directory listed, which has left no record.
+        if (!received.isDeleted && received.revision <= revision.number) return
+        restoredItems.remove(received.key)
+        content.apply(history.sharing(decoder.withLimitedValue(received)), nowMillis)
     }
 }
--- a/src/main/kotlin/org/primrosesill/gateway/DirectoryManager.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/DirectoryManager.kt
@@ -85,6 +85,10 @@
     fun applyListing(listing: PlatformListing, source: String) =
         applyPlatformUpdate { publish(directory.applyListing(listing, nowMillis()), source) }
 
+    /** Applies [listing], a part of a listing from the platform that is not complete yet. */
+    fun applyIncompleteListing(listing: PlatformListing, source: String) =
+        publish(directory.applyIncompleteListing(listing, nowMillis()), source)
+
     /** Applies the changes after revision [since] from the platform. */
     fun applyChanges(since: PlatformRevision, changes: PlatformChanges, source: String) =
         applyPlatformUpdate { publish(directory.applyChanges(since, changes, nowMillis()), source) }
@@ -166,6 +170,8 @@
                 recordUpstreamEvent(EventType.UPSTREAM_LOST, "${change.reason}, from $source", change.upstream)
             is DirectoryChange.ItemRejected ->
                 recordEvent(EventType.ITEM_REFUSED, "${change.reason}, from $source", change.key)
+            is DirectoryChange.ItemAccepted ->
+                recordEvent(EventType.ITEM_ACCEPTED, "can be decoded again, from $source", change.key)
             is DirectoryChange.PlatformRestored ->
                 recordEvent(
                     EventType.PLATFORM_RESTORED,
--- a/src/main/kotlin/org/primrosesill/platform/WireJson.kt
+++ b/src/main/kotlin/org/primrosesill/platform/WireJson.kt
@@ -104,7 +104,7 @@
 
     /** Aborts the decoding with an error for the field [name]. */
     fun fail(name: String, found: Any, expected: String): Nothing =
-        raise.raise(WireError("$path.$name", found.toString(), expected))
+        raise.raise(WireError("$path.$name", found.toString().take(MAXIMUM_FOUND_LENGTH), expected))
 
     private fun <T : Any> field(name: String, expected: String, convert: (JsonElement) -> T?): T? {
         val value = json[name]?.takeIf { it !is JsonNull } ?: return null
@@ -116,12 +116,14 @@
 
     private fun invalid(path: String, value: JsonElement, expected: String) =
         WireError(path, value.toString().take(MAXIMUM_FOUND_LENGTH), expected)
-
-    private companion object {
-        const val MAXIMUM_FOUND_LENGTH = 60
-    }
 }
 
+/** Number of characters of a field that an error quotes. */
+private const val MAXIMUM_FOUND_LENGTH = 60
+
+/** Number of characters of a description that may quote the text in which the error was found. */
+private const val MAXIMUM_PARSE_ERROR_LENGTH = 200
+
 /** Far more than any message has. Functions that descend into a value recursively need stack for each level. */
 private const val MAXIMUM_NESTING_DEPTH = 64
 
@@ -156,7 +158,7 @@
         try {
             Json.parseToJsonElement(text)
         } catch (exception: SerializationException) {
-            val line = exception.firstLine()
+            val line = exception.firstLine().take(MAXIMUM_PARSE_ERROR_LENGTH)
             return WireError(name, "text that is not JSON ($line)", "a JSON object").left()
         }
     return (json as? JsonObject)?.right() ?: WireError(name, "another JSON value", "a JSON object").left()
--- a/src/test/kotlin/org/primrosesill/discovery/RelayedChangesTest.kt
+++ b/src/test/kotlin/org/primrosesill/discovery/RelayedChangesTest.kt
@@ -15,19 +15,22 @@
 import kotlin.random.Random
 
 /** A store whose history reaches back to a compacted revision. */
-private class RandomStore(private val random: Random) {
+private class RandomStore(private val random: Random, private val hasUnreadable: Boolean) {
     val items = HashMap<String, PlatformItem>()
     private var compactedRevision = 0L
     var revision = 0L
         private set
 
-    val content: Map<String, String?> get() = items.values.filterNot { it.isDeleted }.associate { it.key to it.value }
+    /** The items that can be used. */
+    val content: Map<String, String?> get() = usableContent(items.values)
 
     fun write() {
         val key = KEYS.random(random)
         val value =
             if (key.startsWith("zone/")) {
                 "out"
+            } else if (hasUnreadable && random.nextInt(3) == 0) {
+                UNREADABLE
             } else if (random.nextInt(4) == 0) {
                 "draining"
             } else {
@@ -54,9 +57,15 @@
     }
 }
 
+/** A value that [TextItemDecoder] cannot decode. */
+private const val UNREADABLE = "garbage"
+
+private fun usableContent(items: Collection<PlatformItem>): Map<String, String?> =
+    items.filterNot { it.isDeleted || it.value == UNREADABLE }.associate { it.key to it.value }
+
 private class RandomFleet(private val random: Random, private val case: RelayCase) {
-    private val store = RandomStore(random)
-    private val directories = Array(DIRECTORIES) { UpstreamDirectory(TextItemDecoder) }
+    private val store = RandomStore(random, case.hasUnreadable)
+    private val directories = Array(DIRECTORIES) { newDirectory() }
     private val announcedRevisions = Array(DIRECTORIES) { PlatformRevision.NONE }
 
     /** Pages and announcements on their way. */
@@ -112,18 +121,17 @@
         messages += { if (directories[to] === receiver) receiver.applyChanges(since, page, 0) }
     }
 
+    private fun newDirectory() =
+        UpstreamDirectory(TextItemDecoder, DirectorySettings(maximumUnusedItems = case.maximumUnusedItems))
+
     private fun restart(node: Int) {
-        directories[node] = UpstreamDirectory(TextItemDecoder)
+        directories[node] = newDirectory()
         announcedRevisions[node] = PlatformRevision.NONE
     }
 
     private fun difference(node: Int): String? {
         val directory = directories[node]
-        val content =
-            directory.itemsAfter(PlatformRevision.NONE).filterNot { it.isDeleted }.associate {
-                it.key to
-                    it.value
-            }
+        val content = usableContent(directory.itemsAfter(PlatformRevision.NONE))
         if (content != store.content) return "directory $node has $content, the store ${store.content}"
         val listed = content.keys.filter { it.startsWith("up/") }.toSet()
         val used = directory.view().upstreamIds.mapTo(HashSet()) { "up/${it.value}" }
@@ -137,18 +145,32 @@
     }
 }
 
-/** @property reportsSpans whether directories report since when they have recorded all changes; earlier versions do not */
-private class RelayCase(
+/**
+ * @property reportsSpans whether directories report since when they have recorded all changes; earlier versions do not
+ * @property hasUnreadable whether values are written that cannot be decoded
+ * @property maximumUnusedItems number of deleted and unreadable items that directories keep
+ */
+private data class RelayCase(
     val name: String,
     val restarts: Boolean,
     val repeatsListings: Boolean,
     val reportsSpans: Boolean = true,
+    val hasUnreadable: Boolean = false,
+    val maximumUnusedItems: Int = 1_000,
 )
 
 class RelayedChangesTest {
     /** 500 in CI; a longer run sets the system property. */
     private val seeds = 1L..(Integer.getInteger("relayed.changes.seeds", 500))
 
+    private val relayCases =
+        listOf(
+            RelayCase("neither restarts nor repeated listings", restarts = false, repeatsListings = false),
+            RelayCase("restarts", restarts = true, repeatsListings = false),
+            RelayCase("repeated listings", restarts = false, repeatsListings = true),
+            RelayCase("restarts and repeated listings", restarts = true, repeatsListings = true),
+        )
+
     private fun differences(case: RelayCase): List<String> =
         seeds.mapNotNull { seed ->
             RandomFleet(Random(seed), case).run().takeIf { it.isNotEmpty() }?.let { "seed $seed: $it" }
@@ -158,12 +180,17 @@
     // (issue 41, review/3).
     @TestFactory
     fun `directories that have caught up have what the store has`(): List<DynamicTest> =
-        listOf(
-            RelayCase("neither restarts nor repeated listings", restarts = false, repeatsListings = false),
-            RelayCase("restarts", restarts = true, repeatsListings = false),
-            RelayCase("repeated listings", restarts = false, repeatsListings = true),
-            RelayCase("restarts and repeated listings", restarts = true, repeatsListings = true),
-        ).map { case -> dynamicTest(case.name) { expectThat(differences(case)).isEmpty() } }
+        relayCases.map { case -> dynamicTest(case.name) { expectThat(differences(case)).isEmpty() } }
+
+    // Guards against a directory that uses an entry which another writer has made unreadable, or ignores one that is readable
+    // again, as it has removed its record of that, or received it by relay (issue 55).
+    @TestFactory
+    fun `directories that keep few unusable items use what the store has`(): List<DynamicTest> =
+        listOf(0, 1, 2, 4, 1_000).flatMap { kept ->
+            relayCases.map { it.copy(hasUnreadable = true, maximumUnusedItems = kept) }.map { case ->
+                dynamicTest("${case.name}, $kept kept") { expectThat(differences(case)).isEmpty() }
+            }
+        }
 
     // Shows that the orders above reach the fault when directories do not report since when they have recorded all changes.
     @Test
--- a/src/test/kotlin/org/primrosesill/discovery/UpstreamDirectoryTest.kt
+++ b/src/test/kotlin/org/primrosesill/discovery/UpstreamDirectoryTest.kt
@@ -34,6 +34,8 @@
         }
     }
 
+    override fun isConfiguration(key: String): Boolean = key == "config"
+
     override fun upstreamOf(key: String): UpstreamId? =
         key.takeIf { it.startsWith("up/") }?.removePrefix("up/")?.let(::UpstreamId)
 
--- a/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreStandIn.kt
@@ -29,11 +29,11 @@
 class StoreCopy internal constructor(internal val items: Map<String, Any>, internal val revision: Long)
 
 /** The values that a restoration of a [StoreStandIn] from [copy] has lost, by key; null stands for a deletion. */
-class LostWrites internal constructor(internal val values: Map<String, String?>, internal val copy: StoreCopy)
+class LostWrites internal constructor(internal val values: Map<String, ByteArray?>, internal val copy: StoreCopy)
 
 /** An in-memory store. Requests are handled on the traffic thread of [loop]; [write] may be called from any thread. */
 class StoreStandIn(private val loop: TrafficLoop) : RequestHandler {
-    private class Item(val value: String?, val revision: Long)
+    private class Item(val value: ByteArray?, val revision: Long)
 
     private val items = java.util.TreeMap<String, Item>()
     private var revision = 1L
@@ -48,8 +48,10 @@
     val calls = AtomicInteger()
 
     /** Writes [value] under [key], or deletes [key] when [value] is null. */
+    fun write(key: String, value: String?) = write(key, value?.toByteArray())
+
     @Synchronized
-    fun write(key: String, value: String?) {
+    fun write(key: String, value: ByteArray?) {
         items[key] = Item(value, ++revision)
         nextChange.complete(Unit)
         nextChange = CompletableDeferred()
@@ -99,7 +101,8 @@
         val prefix = java.net.URLDecoder.decode(query["path_prefix"].orEmpty(), Charsets.UTF_8)
         when (request.path) {
             "/api/kv-range" -> {
-                val body = range(prefix).toByteArray()
+                val after = java.net.URLDecoder.decode(query["after"].orEmpty(), Charsets.UTF_8)
+                val body = range(prefix, after).toByteArray()
                 response.respond(headOf(200), body)
             }
             "/api/kv-watch" -> {
@@ -110,15 +113,23 @@
         }
     }
 
+    /** Returns the page that begins after the key [after]. */
     @Synchronized
-    private fun range(prefix: String): String {
-        val entries =
-            items.filter { it.key.startsWith(prefix) && it.value.value != null }.map { (key, item) ->
-                itemJson(key, item)
-            }
-        return """{"entries":[${entries.joinToString(",")}],"has_more":false,"at":$revision}"""
+    private fun range(prefix: String, after: String): String {
+        val page = ArrayList<String>()
+        var characters = 0
+        for ((key, item) in items.tailMap(after, false)) {
+            if (!key.startsWith(prefix) || item.value == null) continue
+            if (page.size == PAGE_ITEMS || characters >= PAGE_CHARACTERS) return rangeJson(page, hasMore = true)
+            page += itemJson(key, item)
+            characters += item.value.size
+        }
+        return rangeJson(page, hasMore = false)
     }
 
+    private fun rangeJson(entries: List<String>, hasMore: Boolean) =
+        """{"entries":[${entries.joinToString(",")}],"has_more":$hasMore,"at":$revision}"""
+
     /** Returns the changes after the requested revision, or null if the store does not have that revision. */
     private suspend fun watch(query: Map<String, String>): String? {
         val after = query["after"]?.toLong() ?: 0
@@ -143,12 +154,17 @@
         if (item.value == null) {
             """{"key":"$key","revision":${item.revision},"deleted":true}"""
         } else {
-            val value = Base64.getEncoder().encodeToString(item.value.toByteArray())
+            val value = Base64.getEncoder().encodeToString(item.value)
             """{"key":"$key","value":"$value","revision":${item.revision},"created":1,"lease":0}"""
         }
 
     suspend fun listen(address: String = "127.0.0.1:0"): HttpListener =
         startHttpListener(loop, address, ::ListenerLimits, this)
+
+    private companion object {
+        const val PAGE_ITEMS = 500
+        const val PAGE_CHARACTERS = 1_000_000
+    }
 }
 
 /** How an upstream handles requests. */
