List the store without a limit to its total size

Cause: a listing of more than 16 MB counted as one without an end and was given up, at each call. The size of a listing is in the hands of all who write to the store.

Change: StoreListing bounds what it keeps in place of what it reads.

The keys of StoreEraTest's pages have changed ("a" to "servers/a"): a store has no page that ends before the key that was asked for.

--- a/src/main/kotlin/org/primrosesill/platform/StoreFeed.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreFeed.kt
@@ -18,7 +18,6 @@
 import org.primrosesill.request.FetchedResponse
 import org.primrosesill.request.UpstreamClient
 import java.net.URLEncoder
-import java.util.Arrays
 import java.util.Base64
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -26,53 +25,20 @@
 /** Returns a feed of the items in the store at [address]. */
 public fun storeFeed(address: String, client: UpstreamClient): PlatformFeed = StoreFeed(address, client)
 
-/** Lists and watches all keys, without a prefix: the store contains only keys of the operator and of the upstreams. */
+/** Lists and watches the keys of the operator and of the servers. */
 private class StoreFeed(private val address: String, private val client: UpstreamClient) : PlatformFeed {
-    override suspend fun list(): Either<FeedError, PlatformListing> =
-        withTimeoutOrNull(LISTING_TIMEOUT) { listPages() }
-            ?: FeedError.Unavailable("the listing was incomplete after $LISTING_TIMEOUT").left()
+    override suspend fun list(): Either<FeedError, PlatformListing> = list {}
 
-    private suspend fun listPages(): Either<FeedError, PlatformListing> {
-        val first = listPage(after = null).fold({ return it.left() }, { it })
-        val items = ArrayList(first.items)
-        var page = first
-        var bytes = first.bytes
-        var pages = 1
-        while (page.hasMore && page.items.isNotEmpty()) {
-            val last = page.items.last().key
-            page = listPage(last).fold({ return it.left() }, { it })
-            bytes += page.bytes
-            if (++pages > MAXIMUM_LISTING_PAGES || bytes > MAXIMUM_LISTING_BYTES) {
-                return FeedError.Malformed("the listing has no end after $pages pages with $bytes bytes").left()
-            }
-            orderError(last, page)?.let { return it.left() }
-            if (page.revision.era != first.revision.era) {
-                return FeedError.Unavailable("the store was restored from a copy during the listing").left()
-            }
-            items += page.items
-        }
-        // Later pages may have higher revisions than the first one. The watch starts at the revision of the first page,
-        // so that it returns all changes made during the listing.
-        return PlatformListing(first.revision, items).right()
-    }
-
-    /** Returns why [page] does not follow [previousKey], after which the listing could repeat itself, or null if it does. */
-    private fun orderError(previousKey: String, page: Page): FeedError? {
-        val last = page.items.lastOrNull()?.key ?: return null
-        val advances = Arrays.compareUnsigned(last.toByteArray(), previousKey.toByteArray()) > 0
-        return if (advances) {
-            null
-        } else {
-            FeedError.Malformed("the page after '${previousKey.take(20)}' ends with '${last.take(20)}'")
-        }
-    }
+    override suspend fun list(onProgress: (PlatformListing) -> Unit): Either<FeedError, PlatformListing> =
+        withTimeoutOrNull(LISTING_TIMEOUT) { StoreListing(::listPage, onProgress).run() }
+            ?: FeedError.Unavailable("the listing was incomplete after $LISTING_TIMEOUT").left()
 
     override suspend fun watch(revision: PlatformRevision, wait: Duration): Either<FeedError, PlatformChanges> {
         val path = "/api/kv-watch?path_prefix=&after=${revision.number}&wait_ms=${wait.inWholeMilliseconds}"
         return fetch(path, wait + HEAD_TIMEOUT).flatMap { response ->
             eraError(response.era, revision)?.left()
                 ?: readWireObject(response.body, "watch") { wire ->
-                    val changes = wire.objects("events").map(::readItem)
+                    val changes = wire.objects("events").filter(::hasUsedKey).map(::readItem)
                     PlatformChanges(PlatformRevision(wire.integer("at"), response.era), changes)
                 }.mapLeft { FeedError.Malformed(it.toString()) }
         }
@@ -92,13 +58,12 @@
             else -> null
         }
 
-    private suspend fun listPage(after: String?): Either<FeedError, Page> {
-        val next = after?.let { "&after=${urlEncoded(it)}" }.orEmpty()
-        return fetch("/api/kv-range?path_prefix=$next", HEAD_TIMEOUT).flatMap { response ->
+    private suspend fun listPage(after: String?): Either<FeedError, StorePage> {
+        val start = after?.let { "&after=${urlEncoded(it)}" }.orEmpty()
+        return fetch("/api/kv-range?path_prefix=$start", HEAD_TIMEOUT).flatMap { response ->
             readWireObject(response.body, "range") { wire ->
                 val revision = PlatformRevision(wire.integer("at"), response.era)
-                val items = wire.objects("entries").map(::readItem)
-                Page(revision, items, wire.boolean("has_more"), response.body.length)
+                StorePage(revision, wire.objects("entries").map(::readItem), wire.boolean("has_more"))
             }.mapLeft { FeedError.Malformed(it.toString()) }
         }
     }
@@ -121,34 +86,24 @@
 
     private class StoreResponse(val body: String, val era: Long)
 
-    private class Page(
-        val revision: PlatformRevision,
-        val items: List<PlatformItem>,
-        val hasMore: Boolean,
-        val bytes: Int,
-    )
-
     private companion object {
         val HEAD_TIMEOUT = 1.seconds
 
         val LISTING_TIMEOUT = 20.seconds
-
-        /** A page has about 500 items. */
-        const val MAXIMUM_LISTING_PAGES = 200
-
-        /** Configurations have up to 1 MB, and thousands of upstreams a few hundred bytes each. */
-        const val MAXIMUM_LISTING_BYTES = 16 * 1024 * 1024
         const val ERA_FIELD = "Store-Era"
     }
 }
 
 private fun urlEncoded(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
 
-/** Reads an item of a listing or an event of a watch. */
+private fun hasUsedKey(wire: WireObject): Boolean = isUsedKey(wire.string("key"))
+
+/** Reads an item of a listing or an event of a watch, with a value of limited length. */
 private fun readItem(wire: WireObject): PlatformItem {
+    val key = wire.string("key")
     val deleted = wire.optionalBoolean("deleted") ?: false
-    val value = if (deleted) null else decodeValue(wire)
-    return PlatformItem(wire.string("key"), wire.integer("revision"), value)
+    val value = if (deleted || !isUsedKey(key)) null else decodeValue(wire)
+    return itemWithLimitedValue(PlatformItem(key, wire.integer("revision"), value))
 }
 
 private fun decodeValue(wire: WireObject): String {
--- a/src/test/kotlin/org/primrosesill/platform/StoreEraTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreEraTest.kt
@@ -51,15 +51,20 @@
     @TestFactory
     fun `what is read from a store belongs to one era`(): List<DynamicTest> =
         listOf(
-            Case("a listing", listOf(page("3", 9, "a", true), page("3", 9, "b", false)), null, "9 of era 3"),
-            Case("a store without eras", listOf(page(null, 9, "a", false)), null, "9"),
+            Case(
+                "a listing",
+                listOf(page("3", 9, "servers/a", true), page("3", 9, "servers/b", false)),
+                null,
+                "9 of era 3",
+            ),
+            Case("a store without eras", listOf(page(null, 9, "servers/a", false)), null, "9"),
             Case(
                 "restored between two pages",
-                listOf(page("3", 9, "a", true), page("4", 5, "b", false)),
+                listOf(page("3", 9, "servers/a", true), page("4", 5, "servers/b", false)),
                 null,
                 "Unavailable",
             ),
-            Case("an invalid era", listOf(page("x", 9, "a", false)), null, "Malformed"),
+            Case("an invalid era", listOf(page("x", 9, "servers/a", false)), null, "Malformed"),
             Case("a watch", listOf(changes("3", 12)), PlatformRevision(9, 3), "12 of era 3"),
             Case("a watch of a newer era", listOf(changes("4", 12)), PlatformRevision(9, 3), "Compacted"),
             Case("a watch of an older era", listOf(changes("2", 12)), PlatformRevision(9, 3), "Unavailable"),
--- a/src/test/kotlin/org/primrosesill/process/UnreadableEntriesTest.kt
+++ b/src/test/kotlin/org/primrosesill/process/UnreadableEntriesTest.kt
@@ -1,5 +1,6 @@
 /*
- * Gateway processes with the heap of the deploy file beside entries of other writers that nobody can use.
+ * Gateway processes with the heap of the deploy file beside entries of other writers that nobody can use: at a start, and
+ * while they are written again and again.
  */
 package org.primrosesill.process
 
@@ -29,6 +30,34 @@
         repeat(count) { fleet.site.store.write("$prefix$it", value(it, round)) }
     }
 
+    // Guards against gateways that never become ready after a kill of all processes, as the listing of the platform exceeds a
+    // limit because of entries that nobody can use (issue 55, review/9).
+    @TestFactory
+    fun `processes that start beside unusable entries serve within the recovery time`(): List<DynamicTest> =
+        listOf(
+            Entries("13 of 1 MB, no text", 13) { _, _ -> ByteArray(MEGABYTE) { 1 } },
+            Entries("40 of 1 MB, no UTF-8", 40) { number, round -> randomBytes(MEGABYTE, number, round) },
+            Entries("16 of 1 MB, JSON with a long field", 16) { _, _ -> entryWith("state", MEGABYTE).toByteArray() },
+            Entries("16 of 1 MB, unknown services", 16) { _, _ -> entryWith("note", MEGABYTE).toByteArray() },
+            Entries(
+                "16 of 1 MB before the keys of the operator",
+                16,
+                "a/",
+            ) { _, _ -> ByteArray(MEGABYTE) { 'x'.code.toByte() } },
+            Entries("6,000 of 300 bytes, no JSON", 6_000) { number, round -> randomBytes(300, number, round) },
+        ).map { entries ->
+            dynamicTest(entries.name) {
+                withFleet { fleet ->
+                    entries.write(fleet, round = 0)
+                    delay(2.seconds)
+                    fleet.gateways.forEach { it.kill() }
+                    fleet.gateways.forEach { it.start() }
+                    fleet.gateways.forEach { fleet.awaitReady(it, RECOVERY_TIME) }
+                    expectInForce(fleet, version = 2)
+                }
+            }
+        }
+
     // Guards against gateways whose loops end by an exhausted memory, so that they serve an old configuration for ever, and
     // against one that cannot start as the items of its peers are too large (issue 55, review/6).
     @TestFactory
@@ -85,6 +114,7 @@
         val HEARTBEAT = 1_200.milliseconds
 
         /** As the pages of the platform state. */
+        val RECOVERY_TIME = 12.seconds
         val APPLY_TIME = 2.seconds
 
         /** Bytes that are no UTF-8. */
