Watch for changes while a listing takes long

Cause: the watch began when the listing had ended, though the pages were in use before.

Change: ProgressiveListing, split from PlatformLoop, watches from the revision of the first page once a listing has taken two seconds. Shorter listings make no further call.

ProgressiveListingTest is new; without the watch its case "a long listing" cannot pass, as up/3 is in the watch only.

--- a/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/PlatformLoop.kt
@@ -7,13 +7,10 @@
 import kotlinx.coroutines.delay
 import org.primrosesill.discovery.FeedError
 import org.primrosesill.discovery.PlatformFeed
-import org.primrosesill.discovery.PlatformItem
-import org.primrosesill.discovery.PlatformListing
 import org.primrosesill.discovery.PlatformRevision
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /** Runs on the control thread. */
 internal class PlatformLoop(
@@ -50,7 +47,7 @@
     }
 
     private suspend fun list(): FeedError? =
-        feed.list(IncompleteListing()::add).fold({ it }, { listing ->
+        ProgressiveListing(feed, directory, SOURCE, WATCH_TIMEOUT).run().fold({ it }, { listing ->
             directory.recordPlatformResponse()
             directory.applyListing(listing, SOURCE)
             null
@@ -66,22 +63,6 @@
         })
     }
 
-    /**
-     * Applies the pages of a listing before its end, if this gateway has a view or the listing takes long: a view of a part of
-     * the upstreams is better than an outdated one or none for long, but overloads them while all are about to be known.
-     */
-    private inner class IncompleteListing {
-        private val startedAt = TimeSource.Monotonic.markNow()
-        private val items = ArrayList<PlatformItem>()
-
-        fun add(page: PlatformListing) {
-            items += page.items
-            if (directory.revision == PlatformRevision.NONE && startedAt.elapsedNow() < COMPLETE_LISTING_TIME) return
-            directory.applyIncompleteListing(PlatformListing(page.revision, items.toList()), SOURCE)
-            items.clear()
-        }
-    }
-
     private companion object {
         const val SOURCE = "the platform"
         val READER_CHECK_INTERVAL = 200.milliseconds
@@ -92,9 +73,6 @@
         /** Changes often arrive in bursts, and each call to the platform has a cost. */
         val BATCHING_DELAY = 100.milliseconds
 
-        /** Time in which the first listing is complete unless the platform is slow or has very large values. */
-        val COMPLETE_LISTING_TIME = 2.seconds
-
         /** Short, as entries that expired during a platform outage are removed two seconds after its first response. */
         val INITIAL_RETRY_DELAY = 200.milliseconds
         val MAXIMUM_RETRY_DELAY = 500.milliseconds
