Keep only items in use of the pages of a long listing

By reading: while a gateway lists for long, it applied all items of each page, so that a start kept any number of short values that nobody can use until the end of the listing (up to 1,000 pages of them). Nobody has seen it.

Change: only items in use are reported before the end. Beyond 4,096 items, also those whose key names nothing are left out of the listing.

Evidence: StoreListingTest, "the items in use of each page ...", has 2,000 unreadable and 500 unrelated items before the sound ones now; the code before reported them as well, by reading.

--- a/src/main/kotlin/org/primrosesill/platform/StoreListing.kt
+++ b/src/main/kotlin/org/primrosesill/platform/StoreListing.kt
@@ -30,7 +30,7 @@
  * One listing.
  *
  * @param fetch returns the page that begins after the given key, or the first one
- * @param onProgress receives the items of each page that is followed by another one
+ * @param onProgress receives the items in use of each page that is followed by another one
  */
 internal class StoreListing(
     private val fetch: suspend (after: String?) -> Either<FeedError, StorePage>,
@@ -45,7 +45,7 @@
         items.add(page.items)
         repeat(MAXIMUM_PAGES - 1) {
             val start = startAfter(page) ?: return listingAt(first.revision).right()
-            onProgress(PlatformListing(first.revision, page.items.filter { isUsedKey(it.key) }))
+            onProgress(PlatformListing(first.revision, page.items.filter(items::isUsable)))
             page = fetchPage(start, first.revision.era).fold({ return it.left() }, { it })
             items.add(page.items)
         }
@@ -124,7 +124,7 @@
 /** Keys are in the order of their bytes. */
 private fun String.isBefore(other: String): Boolean = Arrays.compareUnsigned(toByteArray(), other.toByteArray()) < 0
 
-/** The items of a listing. From a number on, those that cannot be decoded are left out, as if they were deleted. */
+/** The items of a listing. From a number on, those without a use are left out, as if they were deleted. */
 private class ListedItems(private val decoder: PlatformItemDecoder) {
     private val items = ArrayList<PlatformItem>()
     private var nextCheckSize = MAXIMUM_UNCHECKED_ITEMS
@@ -134,10 +134,18 @@
     fun add(page: List<PlatformItem>) {
         page.filterTo(items) { isUsedKey(it.key) }
         if (items.size < nextCheckSize) return
-        items.removeIf { !decoder.isConfiguration(it.key) && decoder.decode(it) is DecodedItem.Invalid }
+        items.removeIf { !isUsable(it) }
         nextCheckSize = items.size + MAXIMUM_UNCHECKED_ITEMS
     }
 
+    /** Returns whether [item] is the configuration, an evacuated zone or an upstream. */
+    fun isUsable(item: PlatformItem): Boolean {
+        if (!isUsedKey(item.key)) return false
+        if (decoder.isConfiguration(item.key)) return true
+        val decoded = decoder.decode(item)
+        return decoded !is DecodedItem.Invalid && decoded != DecodedItem.Unrelated
+    }
+
     private companion object {
         const val MAXIMUM_UNCHECKED_ITEMS = 4_096
     }
--- a/src/test/kotlin/org/primrosesill/platform/StoreListingTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/StoreListingTest.kt
@@ -128,12 +128,15 @@
             }
         }
 
-    // Guards against sound entries that are known only after all pages of a long listing.
+    // Guards against sound entries that are known only after all pages of a long listing, and against a gateway that keeps any
+    // number of others until then.
     @Test
-    fun `the items of each page that is followed by another are reported once`() =
+    fun `the items in use of each page that is followed by another are reported once`() =
         runTest {
             val store = LargeStore()
             store.put(keys("servers/m", 1_400), ENTRY)
+            store.put(keys("servers/a", 2_000), "unreadable")
+            store.put(keys("op/other", 500), "unrelated")
             val reported = ArrayList<String>()
             storeFeed("10.0.0.1:80", store).list { page -> reported += page.items.map { it.key } }
             expectThat(reported.toList()).isEqualTo(keys("servers/m", 1_000))
