--- a/src/test/kotlin/org/primrosesill/platform/LimitedValuesTest.kt
+++ b/src/test/kotlin/org/primrosesill/platform/LimitedValuesTest.kt
@@ -75,9 +75,8 @@
                 expectThat(checkNotNull(item.value).length).isLessThanOrEqualTo(MAXIMUM_LENGTH)
                 val before = described(decoder.decode(PlatformItem(case.key, 1, case.value)))
                 expectThat(described(decoder.decode(item))).isEqualTo(before)
-                expectThat(
-                    limited(case.key, checkNotNull(item.value)).value,
-                ).describedAs("limited again").isEqualTo(item.value)
+                val again = limited(case.key, checkNotNull(item.value))
+                expectThat(again.value).describedAs("limited again").isEqualTo(item.value)
             }
         }
 
@@ -95,10 +94,9 @@
                 val reasons =
                     listOf(PlatformItem("servers/i", 1, value), limited("servers/i", value))
                         .map { (decoder.decode(it) as DecodedItem.Invalid).reason }
-                reasons.forEach {
-                    expectThat(
-                        it,
-                    ).contains(expected).get { length }.isLessThanOrEqualTo(MAXIMUM_REASON_LENGTH)
+                reasons.forEach { reason ->
+                    expectThat(reason).contains(expected)
+                    expectThat(reason.length).isLessThanOrEqualTo(MAXIMUM_REASON_LENGTH)
                 }
                 expectThat(reasons.last()).contains("${value.length} characters omitted")
             }
--- a/src/test/kotlin/org/primrosesill/process/GatewayProcesses.kt
+++ b/src/test/kotlin/org/primrosesill/process/GatewayProcesses.kt
@@ -71,18 +71,11 @@
 
     /** Returns the options of the heap and the stack in the deploy file. */
     private fun deployedLimits(): List<String> {
-        val run =
-            Path
-                .of("deploy/system.toml")
-                .readText()
-                .lines()
-                .single { it.startsWith("run = ") }
-        return run
-            .split(
-                ' ',
-                '"',
-            ).filter { it.startsWith("-Xmx") || it.startsWith("-Xss") }
-            .also { check(it.size == 2) }
+        val lines = Path.of("deploy/system.toml").readText().lines()
+        val words = lines.single { it.startsWith("run = ") }.split(' ', '"')
+        val limits = words.filter { it.startsWith("-Xmx") || it.startsWith("-Xss") }
+        check(limits.size == 2) { "limits in the deploy file: $limits" }
+        return limits
     }
 }
 
