Use a configuration as the large change in ExchangeLoopTest

The test took an entry of a server with 9,000 characters for a large change. The configuration is the only item that may still be large. The cases, calls and revisions are as strict as before.

--- a/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
@@ -77,27 +77,39 @@
             { 0 },
         ) { _, message -> sent += message }
 
-    /** Applies one change from the platform. */
-    fun applyChange(since: Long, revision: Long, value: String) {
-        val item = PlatformItem("servers/engine-$revision", revision, value)
+    /** Applies one change from the platform: the entry of an upstream. */
+    fun applyChange(since: Long, revision: Long, value: String) =
+        applyItem(since, PlatformItem("servers/engine-$revision", revision, value))
+
+    /** Applies a configuration from the platform, the only item whose value may be large. */
+    fun applyConfiguration(since: Long, revision: Long) =
+        applyItem(since, PlatformItem("op/config", revision, testConfiguration(routes = 60, accounts = 10).text))
+
+    private fun applyItem(since: Long, item: PlatformItem) {
         directory.applyChanges(
             PlatformRevision(since),
-            PlatformChanges(PlatformRevision(revision), listOf(item)),
+            PlatformChanges(PlatformRevision(item.revision), listOf(item)),
             "test",
         )
     }
 }
 
 class ExchangeLoopTest {
-    private class Case(val name: String, val padding: Int, val lacksOne: Boolean, val calls: Int, val revision: Long)
+    private class Case(
+        val name: String,
+        val isLarge: Boolean,
+        val lacksOne: Boolean,
+        val calls: Int,
+        val revision: Long,
+    )
 
     // Guards against a call per change and gateway, which was seen with 69 gateways while many engines were replaced.
     @TestFactory
     fun `an announcement carries its changes, and only a gap or a large change is fetched`(): List<DynamicTest> =
         listOf(
-            Case("a small change", padding = 10, lacksOne = false, calls = 0, revision = 2),
-            Case("a large change", padding = 9_000, lacksOne = false, calls = 1, revision = 1),
-            Case("a gap", padding = 10, lacksOne = true, calls = 1, revision = 1),
+            Case("a small change", isLarge = false, lacksOne = false, calls = 0, revision = 2),
+            Case("a large change", isLarge = true, lacksOne = false, calls = 1, revision = 1),
+            Case("a gap", isLarge = false, lacksOne = true, calls = 1, revision = 1),
         ).map { case ->
             dynamicTest(case.name) {
                 runTest {
@@ -109,7 +121,11 @@
                     val announced = if (case.lacksOne) 2L else 1L
                     if (case.lacksOne) sender.applyChange(1, 2, entry(10))
                     advanceTimeBy(SETTLED_MILLIS)
-                    sender.applyChange(announced, announced + 1, entry(case.padding))
+                    if (case.isLarge) {
+                        sender.applyConfiguration(announced, announced + 1)
+                    } else {
+                        sender.applyChange(announced, announced + 1, entry(10))
+                    }
                     advanceTimeBy(SETTLED_MILLIS)
                     receiver.loop.receive(sender.sent.last())
                     advanceTimeBy(SETTLED_MILLIS)
@@ -138,7 +154,7 @@
                 runTest {
                     val sender = LoopNode(1, this)
                     val starting = LoopNode(2, this)
-                    sender.applyChange(0, 1, entry(9_000))
+                    sender.applyConfiguration(0, 1)
                     advanceTimeBy(SETTLED_MILLIS)
                     starting.loop.receive(sender.sent.last())
                     case.failedAfterMillis?.let {
@@ -147,7 +163,7 @@
                     }
                     case.listedAfterMillis?.let {
                         advanceTimeBy(it)
-                        starting.applyChange(0, 1, entry(9_000))
+                        starting.applyConfiguration(0, 1)
                     }
                     advanceTimeBy(STARTED_MILLIS)
                     expectThat(starting.client.calls).describedAs("calls to peers").isEqualTo(case.calls)
