Apply a listing as soon as it is received

Cause: ran a listing in a scope that waits for the end of the coroutine for long listings. What arrived from peers in the meantime was handled before the listing was applied. That this order is what adds calls is an inference: the order is the only difference.

Change: ProgressiveListing launches that coroutine without waiting for it.

--- a/src/main/kotlin/org/primrosesill/gateway/ProgressiveListing.kt
+++ b/src/main/kotlin/org/primrosesill/gateway/ProgressiveListing.kt
@@ -6,7 +6,8 @@
 
 import arrow.core.Either
 import arrow.core.getOrElse
-import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.primrosesill.discovery.FeedError
@@ -36,11 +37,15 @@
     private var isLong = false
 
     /** Returns the complete content of the platform, which is not applied yet, or why it could not be listed. */
-    suspend fun run(): Either<FeedError, PlatformListing> =
-        coroutineScope {
-            val longListing = launch { applyWhileLong() }
-            feed.list(::add).also { longListing.cancel() }
+    suspend fun run(): Either<FeedError, PlatformListing> {
+        // Does not wait for the end of the launched coroutine, as the content would be applied later.
+        val longListing = CoroutineScope(currentCoroutineContext()).launch { applyWhileLong() }
+        try {
+            return feed.list(::add)
+        } finally {
+            longListing.cancel()
         }
+    }
 
     /**
      * Applies a page at once if this gateway has a view, or if the listing takes long: a view of a part of the upstreams is better
