Use the event log without output and fewer parameters in two tests

ProgressiveListingTest had its own copy of noOpEventLog. applyChange of ExchangeLoopTest was called with one value only. The properties of DirectorySettings are documented in their order. No change of behaviour; ProgressiveListingTest, ExchangeLoopTest, UpstreamDirectoryTest and LayersTest pass.

--- a/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
+++ b/src/main/kotlin/org/primrosesill/discovery/UpstreamDirectory.kt
@@ -12,13 +12,13 @@
 /**
  * Durations in milliseconds.
  *
- * @property maximumUnusedItems number of deleted items and of items that cannot be decoded up to which all are kept; peers that
- *     lack changes from before the kept ones receive the complete content
  * @property recoveryGraceMillis time after an outage of the platform within which entries that expired during the
  *     outage are registered again
  * @property restorationHoldMillis time after a restoration of the platform within which the operator and the upstreams have
  *     written again what was lost
  * @property coldMarginMillis largest delay of an update from an upstream, added to the time for which it counts as cold
+ * @property maximumUnusedItems number of deleted items and of items that cannot be decoded up to which all are kept; peers that
+ *     lack changes from before the kept ones receive the complete content
  */
 public data class DirectorySettings(
     val recoveryGraceMillis: Long = 2_000,
--- a/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ExchangeLoopTest.kt
@@ -78,8 +78,8 @@
         ) { _, message -> sent += message }
 
     /** Applies one change from the platform: the entry of an upstream. */
-    fun applyChange(since: Long, revision: Long, value: String) =
-        applyItem(since, PlatformItem("servers/engine-$revision", revision, value))
+    fun applyChange(since: Long, revision: Long) =
+        applyItem(since, PlatformItem("servers/engine-$revision", revision, entry(10)))
 
     /** Applies a configuration from the platform, the only item whose value may be large. */
     fun applyConfiguration(since: Long, revision: Long) =
@@ -115,16 +115,16 @@
                 runTest {
                     val sender = LoopNode(1, this)
                     val receiver = LoopNode(2, this)
-                    sender.applyChange(0, 1, entry(10))
-                    receiver.applyChange(0, 1, entry(10))
+                    sender.applyChange(0, 1)
+                    receiver.applyChange(0, 1)
                     advanceTimeBy(SETTLED_MILLIS)
                     val announced = if (case.lacksOne) 2L else 1L
-                    if (case.lacksOne) sender.applyChange(1, 2, entry(10))
+                    if (case.lacksOne) sender.applyChange(1, 2)
                     advanceTimeBy(SETTLED_MILLIS)
                     if (case.isLarge) {
                         sender.applyConfiguration(announced, announced + 1)
                     } else {
-                        sender.applyChange(announced, announced + 1, entry(10))
+                        sender.applyChange(announced, announced + 1)
                     }
                     advanceTimeBy(SETTLED_MILLIS)
                     receiver.loop.receive(sender.sent.last())
--- a/src/test/kotlin/org/primrosesill/gateway/ProgressiveListingTest.kt
+++ b/src/test/kotlin/org/primrosesill/gateway/ProgressiveListingTest.kt
@@ -21,9 +21,7 @@
 import org.primrosesill.discovery.PlatformRevision
 import org.primrosesill.discovery.TextItemDecoder
 import org.primrosesill.discovery.UpstreamDirectory
-import org.primrosesill.event.EventLog
-import org.primrosesill.event.EventSubject
-import org.primrosesill.generated.EventType
+import org.primrosesill.event.noOpEventLog
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
@@ -32,10 +30,6 @@
 import kotlin.time.Duration.Companion.seconds
 
 class ProgressiveListingTest {
-    private object IgnoredEvents : EventLog {
-        override fun record(type: EventType, cause: String, subject: EventSubject) = Unit
-    }
-
     /** A platform whose first page has up/1 and whose last one, after [duration], up/2; up/3 joins after 2.5 s. */
     private class SlowFeed(private val duration: Duration, private val watchError: FeedError?) : PlatformFeed {
         var watches = 0
@@ -84,7 +78,7 @@
                     val directory =
                         DirectoryManager(
                             UpstreamDirectory(TextItemDecoder),
-                            IgnoredEvents,
+                            noOpEventLog(),
                             { testScheduler.currentTime },
                             {},
                             {},
