--- /dev/null
+++ b/review/standin-3/Unable.java
@@ -0,0 +1,6 @@
+/** The case could not run. */
+final class Unable extends RuntimeException {
+    Unable(String reason) {
+        super(reason);
+    }
+}
