--- a/review/standin-3/Server.java
+++ b/review/standin-3/Server.java
@@ -17,6 +17,9 @@
     final String service;
     final String zone;
     final Queue<String> ran = new ConcurrentLinkedQueue<>();
+
+    /** When the requests in ran arrived, in milliseconds of the record. */
+    final Queue<Long> arrivals = new ConcurrentLinkedQueue<>();
     private final ServerSocket listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
     private final long born = System.currentTimeMillis();
     private final CaseRecord record;
@@ -69,6 +72,7 @@
             return "HTTP/1.1 421 Misdirected Request\r\n" + echo + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         }
         ran.add(attempt);
+        arrivals.add(record.millis());
         record.line("server %s of %s runs %s %s %s", id, service, attempt, head.word(0), head.word(1));
         Threads.sleep(15);
         String body = id + " has run " + attempt;
