Keep the attempt at a silent upstream open until another one makes progress

Also responses of 500, 502 and 504 in place of those that would have come, before the head and before the first event.

Cause: an attempt was cancelled, and its connection closed, as soon as an upstream was chosen and a retry reserved. Whether that upstream accepts the request, and responds, was not awaited. If it rejects, fails, closes or is silent, nobody can take up the former attempt again. Not the cause: the choice of full engines.

Change: the next attempt begins beside the silent one. RequestAttempts owns all attempts of a request. The first one with progress (an event that is due, or a response) acquires the ResponseClaim, and the others are closed before anything is written to the caller. A rejection or failure of the next upstream ends its attempt only; another one is asked at once. Retries of attempts that were not sent are returned, also for those that could not connect. Upstreams that have rejected a request as full get no such attempt for 500 ms, and after that one at a time. An upstream that was asked in vain may be asked again, as attempts limit the number of upstreams. One timer serves the waits of an attempt, in place of a task and a timer for each event.

AttemptAllowanceTest: the reservation is gone, so that its two tests now check what an attempt beside another one spends and returns, with the same table of conditions and two more.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
@@ -1,6 +1,7 @@
 /*
  * Whether a request may be sent to one more upstream, and what that takes: an attempt of its route, time until its deadline,
- * an upstream that can take it, and a retry of the budget. An attempt in progress is replaced only once all of it is acquired.
+ * an upstream that can take it, and a retry of the budget. Another attempt begins after the previous one has ended or, while
+ * an upstream is silent, beside it.
  */
 package org.primrosesill.forwarding
 
@@ -21,6 +22,18 @@
     fun release()
 }
 
+/** The upstreams among which the one for the next attempt is selected. */
+internal interface UpstreamChoice {
+    /** Returns upstreams that have just rejected requests as they were full. */
+    fun fullUpstreams(): Set<UpstreamId>
+
+    /** Returns whether an upstream that is not [excluded] may respond before the deadline. */
+    fun canMeetDeadline(excluded: Set<UpstreamId>): Boolean
+
+    /** Selects an upstream that is not [excluded], and that is one of [candidates] unless these are null. */
+    fun choose(excluded: Set<UpstreamId>, candidates: Set<UpstreamId>?): PlacementResult
+}
+
 /** Whether a request is sent to a next upstream. */
 internal sealed interface NextAttempt {
     class Allowed(val placement: PlacementResult.Chosen) : NextAttempt
@@ -32,98 +45,132 @@
  * The attempts of one request. Confined to the traffic thread.
  *
  * @param timeLeft returns the time until the deadline of the request
- * @param canMeetDeadline returns whether an upstream other than the given ones may respond in time
- * @param choose selects an upstream other than the given ones
  */
 internal class AttemptAllowance(
     private val route: Route,
     private val pool: PoolId,
     private val retries: RetryAllowance,
     private val timeLeft: () -> Duration,
-    private val canMeetDeadline: (excluded: Set<UpstreamId>) -> Boolean,
-    private val choose: (excluded: Set<UpstreamId>) -> PlacementResult,
+    private val upstreams: UpstreamChoice,
 ) {
+    /** The upstreams of the attempts in flight, and whether a retry was withdrawn for each. */
+    private val inFlight = HashMap<UpstreamId, Boolean>()
+
+    /** Upstreams that get no further attempt of this request. */
     private val excluded = HashSet<UpstreamId>()
+
+    /** Upstreams that have rejected the request as they were full. They may have room again later. */
+    private val rejecting = HashSet<UpstreamId>()
+
+    /** Upstreams that may have run the request. The route limits their number. */
+    private val executedAt = HashSet<UpstreamId>()
+    private var startedAttempts = 0
     private var sentAttempts = 0
-    private var possibleExecutions = 0
     private var lastRejection: Failure? = null
-    private var reserved: PlacementResult.Chosen? = null
 
-    /** Whether the route allows another attempt after one whose outcome is unknown. */
-    val allowsReplacement: Boolean get() = allowsExecution(possibleExecutions + 1)
+    /** Whether no attempt has been made. */
+    val isFirst: Boolean get() = startedAttempts == 0
+
+    /** Whether the route allows another attempt while those in flight may be running the request. */
+    val allowsConcurrentAttempt: Boolean get() = allowsAttemptAfter(executedAt + inFlight.keys)
 
-    /** Returns the upstream for the next attempt, or why the request is sent to no further one. */
+    /** Returns the upstream for the next attempt when none is in flight, or why the request is sent to no further one. */
     fun next(): NextAttempt {
-        reserved?.let {
-            reserved = null
-            return NextAttempt.Allowed(it)
-        }
         exhaustionFailure()?.let { return NextAttempt.Denied(it) }
-        if (excluded.isNotEmpty() && !canMeetDeadline(excluded)) {
+        val unavailable = excluded + rejecting
+        if (unavailable.isNotEmpty() && !upstreams.canMeetDeadline(unavailable)) {
             return denied("a further attempt would miss the deadline", RETRY_AFTER)
         }
         val placement =
-            when (val result = choose(excluded)) {
+            when (val result = upstreams.choose(unavailable, candidatesAfter(executedAt))) {
                 is PlacementResult.Chosen -> result
                 is PlacementResult.Rejected -> return denied(result.reason, result.retryAfter)
             }
         // Only attempts that reach an upstream load it, so only these count against the retry budget.
-        if (sentAttempts > 0 && !retries.tryAcquire()) return denied("the retry budget is exhausted", RETRY_AFTER)
+        val isRetry = sentAttempts > 0
+        if (isRetry && !retries.tryAcquire()) return denied("the retry budget is exhausted", RETRY_AFTER)
+        recordStart(placement, isRetry)
         return NextAttempt.Allowed(placement)
     }
 
     /**
-     * Reserves the attempt that follows the one at [current], which has been sent and is to be given up. Returns false if there
-     * is none, in which case [current] remains the best upstream for the request.
+     * Returns the upstream for an attempt beside those in flight, whose upstreams are silent. Returns null if there is none that
+     * is better for the request than to wait on: upstreams that are known to be full are left out.
      */
-    fun reserveAfter(current: UpstreamId): Boolean {
-        if (!allowsReplacement || timeLeft() < minimumAttemptTime(route)) return false
-        if (lastRejection != null && excluded.size + 1 >= MAXIMUM_UPSTREAMS) return false
-        if (!canMeetDeadline(excluded + current)) return false
-        releaseReserved()
+    fun nextBeside(): PlacementResult.Chosen? {
+        if (!allowsConcurrentAttempt || timeLeft() < minimumAttemptTime(route)) return null
+        if (startedAttempts >= maxOf(MAXIMUM_ATTEMPTS, route.maximumAttempts)) return null
+        val unavailable = excluded + inFlight.keys + upstreams.fullUpstreams()
+        if (!upstreams.canMeetDeadline(unavailable)) return null
         // The retry first, since a choice counts as a request to the upstream.
-        if (!retries.tryAcquire()) return false
-        reserved = choose(excluded + current) as? PlacementResult.Chosen
-        if (reserved == null) retries.release()
-        return reserved != null
-    }
-
-    /** Returns what was reserved and not used. */
-    fun releaseReserved() {
-        if (reserved == null) return
-        reserved = null
-        retries.release()
+        if (!retries.tryAcquire()) return null
+        val candidates = candidatesAfter(executedAt + inFlight.keys)
+        val placement = upstreams.choose(unavailable, candidates) as? PlacementResult.Chosen
+        if (placement == null) {
+            retries.release()
+            return null
+        }
+        recordStart(placement, isRetry = true)
+        return placement
     }
 
     /** Records that the attempt at [upstream] ended with [outcome]. */
     fun record(upstream: UpstreamId, outcome: AttemptOutcome) {
-        excluded += upstream
-        if (outcome !is AttemptOutcome.NotSent) sentAttempts++
+        val isRetry = inFlight.remove(upstream) ?: false
+        if (outcome.wasSent) {
+            sentAttempts++
+        } else if (isRetry) {
+            retries.release()
+        }
         when (outcome) {
-            is AttemptOutcome.Failed, is AttemptOutcome.Unknown -> possibleExecutions++
-            is AttemptOutcome.NotRun ->
-                lastRejection = Failure.UpstreamRefused(upstream, outcome.reason, RETRY_AFTER)
-            else -> lastRejection = Failure.UpstreamUnreachable(upstream, RETRY_AFTER)
+            is AttemptOutcome.NotSent -> recordRejection(Failure.UpstreamUnreachable(upstream, RETRY_AFTER))
+            is AttemptOutcome.NotRun -> recordRejection(Failure.UpstreamRefused(upstream, outcome.reason, RETRY_AFTER))
+            else -> if (outcome.wasSent) executedAt += upstream
+        }
+        when {
+            outcome is AttemptOutcome.NotRun && outcome.isFull -> rejecting += upstream
+            // It made no mistake: the attempt before it went on first.
+            outcome is AttemptOutcome.Superseded && !outcome.hadStalled -> Unit
+            else -> excluded += upstream
         }
     }
 
+    private fun recordRejection(failure: Failure) {
+        lastRejection = failure
+    }
+
+    private fun recordStart(placement: PlacementResult.Chosen, isRetry: Boolean) {
+        inFlight[placement.upstream.id] = isRetry
+        startedAttempts++
+    }
+
     private fun exhaustionFailure(): Failure? =
         when {
             !timeLeft().isPositive() -> Failure.NoUpstream(pool, "the deadline passed", RETRY_AFTER)
-            !allowsExecution(possibleExecutions) ->
+            !allowsAttemptAfter(executedAt) ->
                 Failure.NoUpstream(pool, "no further attempts are allowed", RETRY_AFTER)
-            excluded.size >= MAXIMUM_UPSTREAMS -> lastRejection
+            startedAttempts >= MAXIMUM_ATTEMPTS -> lastRejection
             else -> null
         }
 
-    private fun allowsExecution(earlier: Int) = earlier == 0 || (route.idempotent && earlier < route.maximumAttempts)
+    private fun allowsAttemptAfter(executions: Set<UpstreamId>): Boolean =
+        candidatesAfter(executions)?.any { it !in excluded && it !in inFlight } ?: true
+
+    /** Returns the upstreams that may run the request after [executions], or null if all may. */
+    private fun candidatesAfter(executions: Set<UpstreamId>): Set<UpstreamId>? =
+        when {
+            executions.isEmpty() -> null
+            !route.idempotent -> emptySet()
+            executions.size < route.maximumAttempts -> null
+            else -> executedAt
+        }
 
     private fun denied(reason: String, retryAfter: Duration) =
         NextAttempt.Denied(Failure.NoUpstream(pool, reason, retryAfter))
 
     private companion object {
-        /** Maximum number of upstreams that are tried for one request. */
-        const val MAXIMUM_UPSTREAMS = 4
+        /** Maximum number of attempts of one request, those included that upstreams reject. */
+        const val MAXIMUM_ATTEMPTS = 4
         val RETRY_AFTER = 300.milliseconds
     }
 }
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -6,6 +6,7 @@
 import org.primrosesill.discovery.KnownUpstream
 import org.primrosesill.model.Failure
 import org.primrosesill.model.ResponseDefect
+import org.primrosesill.model.UpstreamId
 import kotlin.time.Duration
 
 /**
@@ -13,28 +14,23 @@
  *
  * @property onPromptPrefilled called on the first event of a stream
  * @property startedWith time until the deadline of the request when the attempt began
- * @property replacement reserves the attempt that replaces this one; null if none may follow
+ * @property claim must be acquired before anything is written to the caller
+ * @property watch measures the waits for the upstream; null if no other attempt may follow
  * @property prefillTokens prompt tokens that the upstream probably has to prefill
  */
 internal class AttemptInProgress(
     val upstream: KnownUpstream,
     val onPromptPrefilled: () -> Unit,
     val startedWith: Duration,
-    val replacement: AttemptReplacement?,
+    val claim: ResponseClaim,
+    val watch: StallWatch?,
     val prefillTokens: Int = 0,
 )
 
-/** Replaces an attempt in progress by one at another upstream. */
-internal fun interface AttemptReplacement {
-    /**
-     * Reserves the next attempt if the request should leave its upstream, which has sent nothing for [waited]. Returns whether
-     * it did.
-     *
-     * @param startupTime time from the start of the attempt to the latest stage that it has reached: the head of the response
-     *     or the first event
-     * @param hasIncompleteData whether the upstream has sent bytes since that complete no event
-     */
-    fun reserve(limit: Duration, waited: Duration, startupTime: Duration, hasIncompleteData: Boolean): Boolean
+/** The right to respond to the caller, which only one of several attempts has. */
+internal fun interface ResponseClaim {
+    /** Ends all other attempts of the request, as this one has made progress: it has a response or an event that is due. */
+    fun acquire()
 }
 
 /** The names of the subclasses are values of the `result` label of the attempt metric. */
@@ -45,6 +41,9 @@
     /** Whether the connection ended or was reset after the request was sent, as when the upstream crashes. */
     val connectionLost: Boolean get() = false
 
+    /** Whether the request may have reached the upstream. */
+    val wasSent: Boolean get() = true
+
     /** The caller has received the complete response. */
     class Delivered(val status: Int, end: ResponseEnd) : AttemptOutcome {
         override val description = "status $status, $end"
@@ -53,6 +52,7 @@
     /** No byte of the request left this router. */
     class NotSent(reason: String) : AttemptOutcome {
         override val description = "not sent: $reason"
+        override val wasSent = false
     }
 
     /** The request reached the upstream, which did not execute it; [isFull] if it had no capacity left. */
@@ -76,6 +76,15 @@
     /** The upstream sent bytes that are not the head of a response. That does not show that it crashed. */
     class Malformed(defect: ResponseDefect) : Unknown("$defect")
 
+    /**
+     * Another attempt made progress first, so that this one was ended.
+     *
+     * @property hadStalled whether the upstream was silent for longer than its limit
+     */
+    class Superseded(winner: UpstreamId, override val wasSent: Boolean, val hadStalled: Boolean) : AttemptOutcome {
+        override val description = "connection closed, since the attempt at $winner made progress first"
+    }
+
     /** The caller has received a part of a response that cannot be completed. */
     class Cut(val reason: String, override val connectionLost: Boolean) : AttemptOutcome {
         override val description = "response truncated: $reason"
--- a/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/Forwarder.kt
@@ -9,6 +9,7 @@
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
 import org.primrosesill.admission.PoolAdmission
 import org.primrosesill.admission.poolAdmission
 import org.primrosesill.discovery.DirectoryView
@@ -83,7 +84,7 @@
 private val STOPPING_RETRY_AFTER = 100.milliseconds
 
 private class Forwarder(private val dependencies: ForwarderDependencies) : RequestHandler {
-    private val attempts = AttemptLoop(dependencies)
+    private val components = AttemptComponents(dependencies)
 
     override suspend fun handle(request: InboundRequest, response: OutboundResponse) {
         val metadata = dependencies.protocol.parse(request)
@@ -95,7 +96,7 @@
             ).fold({ return reject(request, metadata.id, response, null, it) }, { it })
         dependencies.retryBudget.recordRequest(context.pool)
         try {
-            val failure = attempts.run(context, response)
+            val failure = coroutineScope { RequestAttempts(components, context, response, this).run() }
             if (failure != null) return reject(request, metadata.id, response, context.pool, failure)
             recordFinished(request, context.pool, "answered")
         } catch (exception: CancellationException) {
--- a/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/ResponseRelay.kt
@@ -35,14 +35,11 @@
         metadata.load?.let { recordLoad(it, upstream.id, context) }
         val report = metadata.load as? ReportedLoad
         recordNotices(metadata, upstream, context)
+        val isFull = metadata.notRun && response.status in FULL_STATUSES
+        if (isFull) dependencies.notices.recordFull(upstream)
         val success = response.status in SUCCESS_STATUSES
         return when {
-            metadata.notRun ->
-                AttemptOutcome.NotRun(
-                    "status ${response.status}",
-                    isFull =
-                        response.status in FULL_STATUSES,
-                )
+            metadata.notRun -> AttemptOutcome.NotRun("status ${response.status}", isFull)
             metadata.contentEncoded -> AttemptOutcome.Unknown("response body has a content encoding")
             !metadata.signed -> AttemptOutcome.Unknown("status ${response.status} without a signature")
             success && context.route.kind == RouteKind.STREAM && isEventStream(response) ->
@@ -50,7 +47,7 @@
             else -> {
                 val buffer = ByteArrayOutputStream()
                 try {
-                    relayBuffered(context, upstream, response, callerResponse, buffer) {
+                    relayBuffered(context, attempt, response, callerResponse, buffer) {
                         if (success && report?.slowness == null) recordResponseTime(context, attempt)
                     }
                 } finally {
@@ -108,12 +105,13 @@
 
     private suspend fun relayBuffered(
         context: RequestContext,
-        upstream: KnownUpstream,
+        attempt: AttemptInProgress,
         response: UpstreamResponse,
         callerResponse: OutboundResponse,
         buffer: ByteArrayOutputStream,
         onReceived: () -> Unit,
     ): AttemptOutcome {
+        val upstream = attempt.upstream
         val end = withTimeoutOrNull(context.timeLeft()) { fillBuffer(buffer, response.body) } ?: DEADLINE_PASSED
         if (end is BodyPart.Truncated) {
             dependencies.activity.recordConnectionFailure(upstream.id)
@@ -137,6 +135,7 @@
         if (response.status in STATUSES_IMPLYING_NOT_RUN) {
             return AttemptOutcome.Unknown("status ${response.status} without confirmation that the request was not run")
         }
+        attempt.claim.acquire()
         dependencies.metrics.responseStarted(context.pool, context.request.arrivedAt.elapsedNow())
         if (end is BodyPart.Bytes) {
             return relayUnbuffered(context, upstream, response, callerResponse, buffer.toByteArray())
--- a/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StreamRelay.kt
@@ -57,6 +57,9 @@
      */
     private suspend fun relayEvents(part: StreamPart.Events): AttemptOutcome? {
         dependencies.activity.recordData(upstream.id)
+        // Before the claim: an upstream that repeats events makes no progress.
+        context.orderViolation(part.events.first())?.let { return interrupted(StreamPart.Interrupted(it)) }
+        attempt.claim.acquire()
         if (eventCount == 0) {
             attempt.onPromptPrefilled()
             startupTime = attempt.startedWith - context.timeLeft()
@@ -98,6 +101,7 @@
         // Before the check for truncation, whose delay is none of the upstream.
         speed.recordEnd()
         truncationReason()?.let { return interrupted(StreamPart.Interrupted(it, response.closeDelimited)) }
+        attempt.claim.acquire()
         startResponse()
         if (part.comments.isNotEmpty()) withTimeoutOrNull(context.timeLeft()) { callerResponse.write(part.comments) }
         callerResponse.finish()
@@ -124,21 +128,11 @@
         }
     }
 
-    /**
-     * Returns the next part. A stream that can be resumed leaves a stalled upstream when a move is worth its cost and another
-     * attempt can follow; until then it waits on, as the upstream may be sound and slow.
-     */
+    /** Returns the next part. The wait for it is watched if another attempt may follow. */
     private suspend fun nextPart(): StreamPart {
-        val timeLeft = context.timeLeft()
-        val replacement = attempt.replacement ?: return reader.next(timeLeft)
         val limit = if (eventCount > 0) streamIdleTimeout(context.route) else responseTimeout(context.route)
-        val stallLimit =
-            StallLimit(limit) {
-                replacement.reserve(limit, timeLeft - context.timeLeft(), startupTime, reader.hasIncompleteData)
-            }
-        return awaitUnlessStalled(stallLimit, measuresAtOnce = true) {
-            reader.next(timeLeft)
-        } ?: StreamPart.Interrupted("no event received for $limit")
+        attempt.watch?.begin(UpstreamWait(limit, startupTime, reader::hasIncompleteData))
+        return reader.next(context.timeLeft()).also { attempt.watch?.end() }
     }
 
     private companion object {
--- a/src/main/kotlin/org/primrosesill/load/UpstreamNotices.kt
+++ b/src/main/kotlin/org/primrosesill/load/UpstreamNotices.kt
@@ -1,6 +1,6 @@
 /*
- * Notices that upstreams send with their responses: that they are leaving and should get no new requests, or that they
- * should get none for some time. Each router applies the notices that it receives itself, regardless of the directory.
+ * Notices that upstreams send with their responses: that they are leaving and should get no new requests, that they
+ * should get none for some time, or that they are full. Each router applies the notices that it receives itself, regardless of the directory.
  *
  * Load patterns: upstreams that are replaced under load send the notice before the directory lists them as leaving;
  * upstreams at capacity reject requests, and without a pause routers would send them these requests again.
@@ -8,6 +8,7 @@
 package org.primrosesill.load
 
 import org.primrosesill.discovery.KnownUpstream
+import org.primrosesill.model.UpstreamId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -20,6 +21,7 @@
 public class UpstreamNotices(private val drainMillis: () -> Long, private val nowMillis: () -> Long) {
     private val leavingSinceMillis = HashMap<Incarnation, Long>()
     private val pausedUntilMillis = HashMap<Incarnation, Long>()
+    private val fullAtMillis = HashMap<UpstreamId, Long>()
 
     /** Records that [upstream] is leaving, and returns whether this is its first notice. */
     public fun recordLeaving(upstream: KnownUpstream): Boolean {
@@ -34,6 +36,29 @@
         pausedUntilMillis.merge(upstream.incarnation, until, ::maxOf)
     }
 
+    /** Records that [upstream] has rejected a request as it was full. */
+    public fun recordFull(upstream: KnownUpstream) {
+        fullAtMillis.values.removeIf { nowMillis() - it >= FULL_RETENTION_MILLIS }
+        fullAtMillis[upstream.id] = nowMillis()
+    }
+
+    /**
+     * Returns the upstreams that have rejected a request as they were full within [FULL_EXPIRY_MILLIS], or that were asked since
+     * and have not responded.
+     */
+    public fun fullUpstreams(): Set<UpstreamId> {
+        if (fullAtMillis.isEmpty()) return emptySet()
+        return fullAtMillis.filterValues { nowMillis() - it < FULL_EXPIRY_MILLIS }.keys
+    }
+
+    /** Records that a request is sent to [upstream]. Returns whether its result shows if the upstream is still full. */
+    public fun recordProbe(upstream: UpstreamId): Boolean = fullAtMillis.replace(upstream, nowMillis()) != null
+
+    /** Records that [upstream] serves the request that probed it. */
+    public fun recordAccepted(upstream: UpstreamId) {
+        fullAtMillis.remove(upstream)
+    }
+
     /**
      * Returns those of [upstreams] that may get a new request. Leaving upstreams are included only if all others are paused
      * or leaving, and only in the first part of their drain time, since a request may take a while to arrive.
@@ -63,6 +88,12 @@
         /** Longer than any upstream takes to leave. */
         const val LEAVING_EXPIRY_MILLIS = 600_000L
 
+        /** A full upstream frees a slot about as often as one of its streams ends. */
+        const val FULL_EXPIRY_MILLIS = 500L
+
+        /** Time after which an upstream that was full is no longer probed by one request at a time. */
+        const val FULL_RETENTION_MILLIS = 5_000L
+
         /** A longer pause is treated as a fault of the upstream, which would otherwise never get requests again. */
         val MAXIMUM_PAUSE = 600_000.milliseconds
 
--- a/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/FleetPlacement.kt
@@ -52,7 +52,7 @@
     private val engines = EnginePlacement(dependencies)
 
     override fun choose(request: PlacementRequest, view: DirectoryView): PlacementResult {
-        val eligible = view.eligible(request.pool).filter { it.id !in request.excluded }
+        val eligible = view.eligible(request.pool).filter { request.allows(it.id) }
         if (eligible.isEmpty()) return PlacementResult.Rejected("no upstream may take new requests", RETRY_AFTER)
         val accepting = dependencies.notices.accepting(eligible)
         if (accepting.isEmpty()) {
--- a/src/main/kotlin/org/primrosesill/placement/Placement.kt
+++ b/src/main/kotlin/org/primrosesill/placement/Placement.kt
@@ -14,7 +14,8 @@
  *
  * @property prompt null for requests to plain services
  * @property latencyTarget time to the response within which the request counts as on time
- * @property excluded upstreams to which the request was sent before
+ * @property excluded upstreams that must not get the request, such as those to which it was sent before
+ * @property candidates the only upstreams that may get the request, or null for all
  */
 public class PlacementRequest(
     public val pool: PoolId,
@@ -22,7 +23,12 @@
     public val latencyTarget: Duration,
     public val bodyBytes: Int,
     public val excluded: Set<UpstreamId>,
-)
+    public val candidates: Set<UpstreamId>? = null,
+) {
+    /** Returns whether [upstream] may get the request. */
+    public fun allows(upstream: UpstreamId): Boolean =
+        upstream !in excluded && (candidates == null || upstream in candidates)
+}
 
 /** The upstream for a request, or a rejection with the time after which to retry. */
 public sealed interface PlacementResult {
--- a/src/test/kotlin/org/primrosesill/forwarding/AttemptAllowanceTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/AttemptAllowanceTest.kt
@@ -1,5 +1,5 @@
 /*
- * Whether an attempt in progress may be replaced by another one, and what that takes.
+ * Whether another attempt may begin beside one in flight, what that takes, and what is returned.
  */
 package org.primrosesill.forwarding
 
@@ -35,7 +35,7 @@
 class AttemptAllowanceTest {
     private class Case(
         val name: String,
-        val isReserved: Boolean,
+        val isAllowed: Boolean,
         val kind: RouteKind = RouteKind.IDEMPOTENT,
         val resumable: Boolean = false,
         val attempts: Int = 2,
@@ -44,6 +44,7 @@
         val timeLeft: Duration = 2.seconds,
         val earlier: List<AttemptOutcome> = emptyList(),
         val canMeetDeadline: Boolean = true,
+        val full: Set<UpstreamId> = emptySet(),
     )
 
     private val unknown = AttemptOutcome.Unknown("reset")
@@ -55,14 +56,21 @@
             testPool,
             retries,
             { case.timeLeft },
-            { case.canMeetDeadline },
-        ) { excluded ->
+            FirstAllowedUpstream(case),
+        )
+
+    private class FirstAllowedUpstream(private val case: Case) : UpstreamChoice {
+        override fun fullUpstreams() = case.full
+
+        override fun canMeetDeadline(excluded: Set<UpstreamId>) = case.canMeetDeadline
+
+        override fun choose(excluded: Set<UpstreamId>, candidates: Set<UpstreamId>?): PlacementResult =
             (1..case.upstreams)
                 .map { testUpstream("u$it") }
-                .firstOrNull { it.id !in excluded }
+                .firstOrNull { it.id !in excluded && (candidates == null || it.id in candidates) }
                 ?.let { PlacementResult.Chosen(it) }
                 ?: PlacementResult.Rejected("none", 100.milliseconds)
-        }
+    }
 
     /** Makes the attempts of [case] up to the one in progress, and returns its upstream. */
     private fun AttemptAllowance.startAttempts(case: Case): UpstreamId {
@@ -78,7 +86,7 @@
     // Guards against a sound upstream that is given up although no other attempt can follow (issue 41, review/4), and against
     // retries that are spent without an attempt.
     @TestFactory
-    fun `an attempt is replaced only with all that the next one needs`(): List<DynamicTest> =
+    fun `an attempt begins beside another one only with all that it needs`(): List<DynamicTest> =
         listOf(
             Case("a second attempt is allowed", true),
             Case("resumable stream", true, kind = RouteKind.STREAM, resumable = true),
@@ -101,32 +109,52 @@
             Case("just in time", true, timeLeft = 100.milliseconds),
             Case("queues longer than the time left", false, canMeetDeadline = false),
             Case("maximum number of upstreams", false, upstreams = 9, retries = 9, earlier = List(3) { notRun }),
+            Case("another upstream is full", true, full = setOf(UpstreamId("u2"))),
+            Case("all other upstreams are full", false, full = setOf(UpstreamId("u2"), UpstreamId("u3"))),
         ).map { case ->
             dynamicTest(case.name) {
                 val retries = CountedRetries(case.retries)
                 val allowance = allowance(case, retries)
-                val current = allowance.startAttempts(case)
+                allowance.startAttempts(case)
                 val before = retries.left
-                expectThat(allowance.reserveAfter(current)).isEqualTo(case.isReserved)
-                expectThat(before - retries.left).describedAs("retries spent").isEqualTo(if (case.isReserved) 1 else 0)
-                allowance.releaseReserved()
-                expectThat(retries.left).describedAs("retries after the release").isEqualTo(before)
+                val next = allowance.nextBeside()?.upstream?.id
+                expectThat(next != null).isEqualTo(case.isAllowed)
+                expectThat(before - retries.left).describedAs("retries spent").isEqualTo(if (case.isAllowed) 1 else 0)
+                if (next == null) return@dynamicTest
+                allowance.record(next, AttemptOutcome.NotSent("refused"))
+                expectThat(retries.left).describedAs("retries after an attempt that was not sent").isEqualTo(before)
+            }
+        }
+
+    // Guards against a retry that is spent twice for an attempt beside another one, or returned for one that reached its
+    // upstream.
+    @TestFactory
+    fun `an attempt beside another one spends one retry if it reaches its upstream`(): List<DynamicTest> =
+        listOf(
+            "not run" to notRun,
+            "full" to AttemptOutcome.NotRun("busy", isFull = true),
+            "unknown" to unknown,
+            "superseded" to AttemptOutcome.Superseded(UpstreamId("u1"), wasSent = true, hadStalled = false),
+        ).map { (name, outcome) ->
+            dynamicTest(name) {
+                val retries = CountedRetries(2)
+                val allowance = allowance(Case("beside", true), retries)
+                allowance.nextUpstream()
+                val next = allowance.nextBeside()!!.upstream.id
+                allowance.record(next, outcome)
+                expectThat(retries.left).isEqualTo(1)
             }
         }
 
-    // Guards against a reservation whose retry is spent twice, or that is not used for the next attempt.
+    // Guards against a retry that stays spent for an attempt that was ended before it reached its upstream.
     @Test
-    fun `the reserved attempt follows without another retry`() {
+    fun `an attempt that is superseded before it is sent spends no retry`() {
         val retries = CountedRetries(1)
-        val case = Case("reserved", true)
-        val allowance = allowance(case, retries)
-        val current = allowance.startAttempts(case)
-        expectThat(allowance.reserveAfter(current)).isEqualTo(true)
-        allowance.record(current, unknown)
-        expectThat(allowance.nextUpstream()).isEqualTo(UpstreamId("u2"))
-        expectThat(retries.left).isEqualTo(0)
-        allowance.releaseReserved()
-        expectThat(retries.left).describedAs("retries after their use").isEqualTo(0)
+        val allowance = allowance(Case("superseded", true), retries)
+        val former = allowance.nextUpstream()
+        val next = allowance.nextBeside()!!.upstream.id
+        allowance.record(next, AttemptOutcome.Superseded(former, wasSent = false, hadStalled = false))
+        expectThat(retries.left).isEqualTo(1)
     }
 
     // Guards against a retry of the budget that is withdrawn and not given back when no upstream can take the request.
--- a/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ForwardingFixture.kt
@@ -123,7 +123,7 @@
         ): PlacementResult =
             view
                 .eligible(request.pool)
-                .firstOrNull { it.id !in request.excluded }
+                .firstOrNull { request.allows(it.id) }
                 ?.let { PlacementResult.Chosen(it) }
                 ?: PlacementResult.Rejected("none", 250.milliseconds)
     }
@@ -143,9 +143,12 @@
     /** Time of the monotonic clock. */
     var nowMillis = 0L
     val events = mutableListOf<Pair<EventType, String>>()
+
+    /** The types of events and the upstreams that they name, separated by a space. */
+    val eventsOfUpstreams = mutableListOf<String>()
     val view = directoryView(configuration, upstreams)
     val activity = UpstreamActivity(activityClock ?: { nowMillis })
-    val notices = UpstreamNotices({ 2_000 }, { 0 })
+    val notices = UpstreamNotices({ 2_000 }, activityClock ?: { 0L })
     val loads = UpstreamLoads(activity) { nowMillis }
     val services = ServiceConcurrency(ownCode = "self") { nowMillis }
     val handler =
@@ -169,7 +172,10 @@
                     ),
                 client = client,
                 metrics = NoForwardingMetrics,
-                events = { type, _, _, cause -> events += type to cause },
+                events = { type, _, upstream, cause ->
+                    events += type to cause
+                    if (upstream != null) eventsOfUpstreams += "${type.value} $upstream"
+                },
                 nowMillis = { nowMillis },
                 isLoadAware = { isLoadAware },
                 speeds = speeds,
--- a/src/test/kotlin/org/primrosesill/load/UpstreamNoticesTest.kt
+++ b/src/test/kotlin/org/primrosesill/load/UpstreamNoticesTest.kt
@@ -101,4 +101,30 @@
     fun `only the first leaving notice is new`() {
         expectThat(List(3) { notices.recordLeaving(first) }).isEqualTo(listOf(true, false, false))
     }
+
+    // Guards against requests that leave their upstream for one that has just rejected others, and against one that counts as
+    // full for good.
+    @TestFactory
+    fun `an upstream that rejected a request counts as full for half a second`(): List<DynamicTest> =
+        listOf(0L to setOf("u1"), 499L to setOf("u1"), 500L to emptySet()).map { (afterMillis, full) ->
+            dynamicTest("after $afterMillis ms") {
+                notices.recordFull(first)
+                now += afterMillis
+                expectThat(notices.fullUpstreams().map { it.value }.toSet()).isEqualTo(full)
+            }
+        }
+
+    // Guards against many requests that all find out at once whether an upstream is still full, and against one that counts as
+    // full after it has served the request that probed it.
+    @Test
+    fun `an upstream that was full is probed by one request at a time`() {
+        expectThat(notices.recordProbe(first.id)).describedAs("never full").isEqualTo(false)
+        notices.recordFull(first)
+        now += 500
+        expectThat(notices.recordProbe(first.id)).isEqualTo(true)
+        expectThat(notices.fullUpstreams()).describedAs("while it is probed").isEqualTo(setOf(first.id))
+        notices.recordAccepted(first.id)
+        expectThat(notices.fullUpstreams()).describedAs("after it served a request").isEqualTo(emptySet())
+        expectThat(notices.recordProbe(first.id)).describedAs("after it served a request").isEqualTo(false)
+    }
 }
--- a/src/test/kotlin/org/primrosesill/platform/UpstreamStandIn.kt
+++ b/src/test/kotlin/org/primrosesill/platform/UpstreamStandIn.kt
@@ -37,6 +37,10 @@
     @Volatile
     var mode = UpstreamMode.NORMAL
 
+    /** How long each stream is silent after half of its events. */
+    @Volatile
+    var silenceMillis = 0L
+
     override suspend fun handle(request: InboundRequest, response: OutboundResponse) {
         val attempt = request.headers["X-Attempt-Id"].orEmpty()
         val echo = headerFieldsOf("X-Attempt-Id" to attempt)
@@ -93,6 +97,7 @@
         response.start(ResponseHead(200, fields.with("Content-Type", "text/event-stream")))
         for (number in first..events) {
             delay(pauseMillis)
+            if (number == events / 2 + 1) delay(silenceMillis)
             if (mode == UpstreamMode.TRUNCATING && number == events / 2 + 1) return response.abort()
             response.write("id: $number\ndata: $number\n\n".toByteArray())
         }
