Ask an upstream again whose attempt was superseded

What callers would see: a stream that is cut although its other upstream could finish it. With two attempts, a stream that moved, and whose new upstream then closed its connection, had no upstream left: the first one was left out since its attempt had been superseded.

Change: an upstream that was silent until another one went on is asked again once that one has failed. It is among the upstreams that may have run the request already, so that their number stays within the route's attempts. Beside an attempt in flight it is not asked: the last attempt of a route is waited for, as SlowUpstreamTest states.

Launched attempts are always watched, since what is allowed beside them changes as others end.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
@@ -59,6 +59,9 @@
     /** Upstreams that get no further attempt of this request. */
     private val excluded = HashSet<UpstreamId>()
 
+    /** Upstreams that were silent until another one made progress. They are asked again only after that one has failed. */
+    private val stalled = HashSet<UpstreamId>()
+
     /** Upstreams that have rejected the request as they were full. They may have room again later. */
     private val rejecting = HashSet<UpstreamId>()
 
@@ -100,7 +103,7 @@
     fun nextBeside(): PlacementResult.Chosen? {
         if (!allowsConcurrentAttempt || timeLeft() < minimumAttemptTime(route)) return null
         if (startedAttempts >= maxOf(MAXIMUM_ATTEMPTS, route.maximumAttempts)) return null
-        val unavailable = excluded + inFlight.keys + upstreams.fullUpstreams()
+        val unavailable = excluded + stalled + inFlight.keys + upstreams.fullUpstreams()
         if (!upstreams.canMeetDeadline(unavailable)) return null
         // The retry first, since a choice counts as a request to the upstream.
         if (!retries.tryAcquire()) return null
@@ -123,22 +126,19 @@
             retries.release()
         }
         when (outcome) {
-            is AttemptOutcome.NotSent -> recordRejection(Failure.UpstreamUnreachable(upstream, RETRY_AFTER))
-            is AttemptOutcome.NotRun -> recordRejection(Failure.UpstreamRefused(upstream, outcome.reason, RETRY_AFTER))
+            is AttemptOutcome.NotSent -> lastRejection = Failure.UpstreamUnreachable(upstream, RETRY_AFTER)
+            is AttemptOutcome.NotRun ->
+                lastRejection = Failure.UpstreamRefused(upstream, outcome.reason, RETRY_AFTER)
             else -> if (outcome.wasSent) executedAt += upstream
         }
         when {
             outcome is AttemptOutcome.NotRun && outcome.isFull -> rejecting += upstream
-            // It made no mistake: the attempt before it went on first.
-            outcome is AttemptOutcome.Superseded && !outcome.hadStalled -> Unit
+            // That another one was faster does not show that this one cannot run the request.
+            outcome is AttemptOutcome.Superseded -> if (outcome.hadStalled) stalled += upstream
             else -> excluded += upstream
         }
     }
 
-    private fun recordRejection(failure: Failure) {
-        lastRejection = failure
-    }
-
     private fun recordStart(placement: PlacementResult.Chosen, isRetry: Boolean) {
         inFlight[placement.upstream.id] = isRetry
         startedAttempts++
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptOutcome.kt
@@ -77,7 +77,7 @@
     class Malformed(defect: ResponseDefect) : Unknown("$defect")
 
     /**
-     * Another attempt made progress first, so that this one was ended.
+     * Another attempt, at [winner], made progress first, so that this one was ended.
      *
      * @property hadStalled whether the upstream was silent for longer than its limit
      */
--- a/src/main/kotlin/org/primrosesill/forwarding/RequestAttempts.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/RequestAttempts.kt
@@ -67,11 +67,7 @@
                 else -> Unit
             }
             // An upstream that is still silent need not wait for its next check.
-            inFlight
-                .lastOrNull()
-                ?.control
-                ?.watch
-                ?.check()
+            inFlight.lastOrNull()?.checkWait()
         }
     }
 
@@ -89,13 +85,12 @@
         if (allowance.allowsConcurrentAttempt) {
             launch(placement)
         } else {
-            execute(RunningAttempt(placement, canBeReplaced = false))
+            execute(RunningAttempt(placement, isWatched = false))
         }
     }
 
     private fun launch(placement: PlacementResult.Chosen, isProbe: Boolean = false) {
-        val attempt = RunningAttempt(placement, canBeReplaced = allowance.allowsConcurrentAttempt)
-        attempt.isProbe = isProbe
+        val attempt = RunningAttempt(placement, isWatched = true, isProbe)
         attempt.job =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
                 try {
@@ -123,7 +118,7 @@
     }
 
     /** Begins another attempt beside [attempt], whose upstream has been silent for [waited], if it is worth its cost. */
-    private fun replaceStalled(attempt: RunningAttempt, wait: UpstreamWait, waited: Duration) {
+    private fun beginBeside(attempt: RunningAttempt, wait: UpstreamWait, waited: Duration) {
         val isLatest = attempt === inFlight.lastOrNull()
         if (!isLatest || !shouldLeave(attempt, wait, waited) || crashingPromptFailure() != null) return
         val placement = allowance.nextBeside() ?: return
@@ -163,28 +158,34 @@
 
     private class EndedAttempt(val upstream: UpstreamId, val outcome: AttemptOutcome)
 
-    /** @param canBeReplaced whether another attempt may begin beside this one */
-    private inner class RunningAttempt(val placement: PlacementResult.Chosen, canBeReplaced: Boolean) {
+    /**
+     * @param isWatched whether another attempt may begin beside this one, now or after others have ended
+     * @property isProbe whether the upstream was full before, so that the progress of this attempt shows that it no longer is
+     */
+    private inner class RunningAttempt(
+        val placement: PlacementResult.Chosen,
+        isWatched: Boolean,
+        var isProbe: Boolean = false,
+    ) {
         val upstream get() = placement.upstream.id
         val startedAt = TimeSource.Monotonic.markNow()
         var job: Job? = null
         var wasSent = false
 
-        /** Whether the upstream was full before, so that the progress of this attempt shows that it no longer is. */
-        var isProbe = false
-
         /** Whether another attempt has begun since this one last made progress. */
         var hasStalled = false
 
         val control =
             AttemptControl(
                 claim = { endOthers(this) },
-                watch = if (canBeReplaced) stallWatch() else null,
+                watch = if (isWatched) stallWatch() else null,
                 onSent = { wasSent = true },
             )
 
+        fun checkWait() = control.watch?.check()
+
         private fun stallWatch() =
-            StallWatch(scope, context::timeLeft) { wait, waited -> replaceStalled(this, wait, waited) }
+            StallWatch(scope, context::timeLeft) { wait, waited -> beginBeside(this, wait, waited) }
     }
 
     private inner class PoolRetries : RetryAllowance {
--- a/src/test/kotlin/org/primrosesill/forwarding/ConcurrentAttemptsTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/ConcurrentAttemptsTest.kt
@@ -163,23 +163,46 @@
             }
         }
 
-    // Guards against a stream that is lost when its upstream falls silent for good after it was taken up again: the upstream that
-    // was asked before may continue it, as it counts as one of the servers of the request already.
+    // Guards against a stream that is lost as its route allows no third upstream, when the attempt that went on first does not
+    // finish: the other upstream may be asked again, as it counts as one of the servers of the request already.
     @TestFactory
-    fun `an upstream that was asked in vain may be asked again`(): List<DynamicTest> =
+    fun `an upstream whose attempt was superseded may be asked again`(): List<DynamicTest> =
         listOf(
-            Named("falls silent again", Streams(pauses = mapOf(2 to 900, 5 to NO_END_MILLIS), interval = 50)),
-            Named("closes its connection", Streams(pauses = mapOf(2 to 900), interval = 50, closesBefore = 5)),
-        ).map { former ->
-            dynamicTest("the former upstream ${former.name}") {
-                val next = Streams(headMillis = 150, interval = 50)
-                val play = play(Former(former.value, 0), listOf(next))
+            AskedAgain(
+                "the former upstream falls silent again",
+                Streams(pauses = mapOf(2 to 900, 5 to NO_END_MILLIS), interval = 50),
+                Streams(headMillis = 150, interval = 50),
+                listOf("u1", "u2", "u2"),
+            ),
+            AskedAgain(
+                "the former upstream closes its connection",
+                Streams(pauses = mapOf(2 to 900), interval = 50, closesBefore = 5),
+                Streams(headMillis = 150, interval = 50),
+                listOf("u1", "u2", "u2"),
+            ),
+            AskedAgain(
+                "the next upstream closes its connection",
+                Streams(pauses = mapOf(5 to PAUSE_MILLIS)),
+                Streams(closesBefore = 6),
+                listOf("u1", "u2", "u1"),
+            ),
+        ).map { case ->
+            dynamicTest(case.name) {
+                val play = play(Former(case.former, 0), listOf(case.next))
                 expectThat(play.result).isEqualTo("200")
                 expectThat(play.body).isEqualTo(PacedUpstreams.wholeStream)
-                expectThat(play.runs.map { it.upstream.value }).isEqualTo(listOf("u1", "u2", "u2"))
+                expectThat(play.runs.map { it.upstream.value }).isEqualTo(case.upstreams)
             }
         }
 
+    /** @property upstreams those to which the request was sent, in order */
+    private class AskedAgain(
+        val name: String,
+        val former: UpstreamReply,
+        val next: UpstreamReply,
+        val upstreams: List<String>,
+    )
+
     // Guards against work that goes on after the caller has left, at the former upstream or at the next one.
     @TestFactory
     fun `both attempts end when the caller leaves`(): List<DynamicTest> =
