Name the candidates of further attempts, and state what a silent upstream counts as

UpstreamChoice was also the name of a class of the router command. No change of behaviour; 240 tests of the forwarding code pass.

--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptAllowance.kt
@@ -23,7 +23,7 @@
 }
 
 /** The upstreams among which the one for the next attempt is selected. */
-internal interface UpstreamChoice {
+internal interface AttemptCandidates {
     /** Returns upstreams that have just rejected requests as they were full. */
     fun fullUpstreams(): Set<UpstreamId>
 
@@ -51,7 +51,7 @@
     private val pool: PoolId,
     private val retries: RetryAllowance,
     private val timeLeft: () -> Duration,
-    private val upstreams: UpstreamChoice,
+    private val upstreams: AttemptCandidates,
 ) {
     /** The upstreams of the attempts in flight, and whether a retry was withdrawn for each. */
     private val inFlight = HashMap<UpstreamId, Boolean>()
--- a/src/main/kotlin/org/primrosesill/forwarding/AttemptRecorder.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/AttemptRecorder.kt
@@ -14,7 +14,7 @@
     fun recordRouted(context: RequestContext, placement: PlacementResult.Chosen) =
         record(EventType.REQUEST_ROUTED, context, placement.upstream.id, placement.explanation)
 
-    /** Records that another attempt begins, as [upstream] has sent nothing for [waited]. */
+    /** Records that another attempt begins, as [upstream] has sent nothing for [waited]. That counts as a failure of [upstream]. */
     fun recordStalled(context: RequestContext, upstream: UpstreamId, wait: UpstreamWait, waited: Duration) {
         dependencies.activity.recordConnectionFailure(upstream)
         val sent = if (wait.hasIncompleteData()) "only incomplete data" else "nothing"
--- a/src/main/kotlin/org/primrosesill/forwarding/RequestAttempts.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/RequestAttempts.kt
@@ -194,7 +194,7 @@
         override fun release() = dependencies.retryBudget.release(context.pool)
     }
 
-    private inner class PoolUpstreams : UpstreamChoice {
+    private inner class PoolUpstreams : AttemptCandidates {
         override fun fullUpstreams() = dependencies.notices.fullUpstreams()
 
         override fun canMeetDeadline(excluded: Set<UpstreamId>) =
--- a/src/main/kotlin/org/primrosesill/forwarding/StallWatch.kt
+++ b/src/main/kotlin/org/primrosesill/forwarding/StallWatch.kt
@@ -57,8 +57,9 @@
     fun begin(wait: UpstreamWait) {
         current = wait
         beganWith = timeLeft()
-        val isCovered = timer?.isActive ?: false && expiresWith >= beganWith - wait.limit
-        if (isCovered) return
+        val isActive = timer?.isActive ?: false
+        val expiresInTime = expiresWith >= beganWith - wait.limit
+        if (isActive && expiresInTime) return
         timer?.cancel()
         timer = scope.launch(start = CoroutineStart.UNDISPATCHED) { watch() }
     }
--- a/src/test/kotlin/org/primrosesill/forwarding/AttemptAllowanceTest.kt
+++ b/src/test/kotlin/org/primrosesill/forwarding/AttemptAllowanceTest.kt
@@ -59,7 +59,7 @@
             FirstAllowedUpstream(case),
         )
 
-    private class FirstAllowedUpstream(private val case: Case) : UpstreamChoice {
+    private class FirstAllowedUpstream(private val case: Case) : AttemptCandidates {
         override fun fullUpstreams() = case.full
 
         override fun canMeetDeadline(excluded: Set<UpstreamId>) = case.canMeetDeadline
